--- /dev/null
+++ b/crates/carawaybarrow/src/main.rs
@@ -0,0 +1,3 @@
+//! The carawaybarrow command.
+
+fn main() {}
--- /dev/null
+++ b/crates/testbed/src/main.rs
@@ -0,0 +1,3 @@
+//! Stand-ins for the platform.
+
+fn main() {}
