--- /dev/null
+++ b/crates/core/src/admission.rs
@@ -0,0 +1,1 @@
+//! Decides whether a job is accepted.
--- /dev/null
+++ b/crates/core/src/burn.rs
@@ -0,0 +1,1 @@
+//! Service-level burn: how fast each class spends its error budget.
--- /dev/null
+++ b/crates/core/src/estimate.rs
@@ -0,0 +1,1 @@
+//! Run times learned from reports.
--- /dev/null
+++ b/crates/core/src/fleet.rs
@@ -0,0 +1,1 @@
+//! VM records, drain permits and maintenance waves.
--- /dev/null
+++ b/crates/core/src/health.rs
@@ -0,0 +1,1 @@
+//! Quarantine of workers that fail more than their pool.
--- /dev/null
+++ b/crates/core/src/journal.rs
@@ -0,0 +1,1 @@
+//! Durable jobs and claims.
--- /dev/null
+++ b/crates/core/src/membership.rs
@@ -0,0 +1,1 @@
+//! Members and the freshness rule.
--- /dev/null
+++ b/crates/core/src/permits.rs
@@ -0,0 +1,1 @@
+//! Local use of the permits that an entry holds.
--- /dev/null
+++ b/crates/core/src/planner.rs
@@ -0,0 +1,1 @@
+//! Plans maintenance waves and moves.
--- /dev/null
+++ b/crates/core/src/queue.rs
@@ -0,0 +1,1 @@
+//! Order in which waiting jobs start.
--- /dev/null
+++ b/crates/core/src/quota.rs
@@ -0,0 +1,1 @@
+//! Permits of teams, divided between entries.
--- /dev/null
+++ b/crates/core/src/retry.rs
@@ -0,0 +1,1 @@
+//! Budget of retries.
--- /dev/null
+++ b/crates/core/src/routing.rs
@@ -0,0 +1,1 @@
+//! Choice of the endpoint for a job.
