--- /dev/null
+++ b/crates/carawaybarrow/src/clock.rs
@@ -0,0 +1,38 @@
+//! Clocks of the process.
+
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use carawaybarrow_core::units::{MonoTime, WallTime};
+
+/// Source of monotonic and wall times.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    started: Instant,
+}
+
+impl Clock {
+    /// Starts the monotonic clock at zero.
+    #[must_use]
+    pub fn new() -> Self {
+        Self { started: Instant::now() }
+    }
+
+    /// Time since the process started.
+    #[must_use]
+    pub fn now(&self) -> MonoTime {
+        MonoTime(u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX))
+    }
+
+    /// Wall time; used for records and for targets at a time of day.
+    #[must_use]
+    pub fn wall(&self) -> WallTime {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        WallTime(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX))
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/carawaybarrow/src/http_server.rs
@@ -0,0 +1,181 @@
+//! HTTP server that stops without cutting a request in progress.
+
+use std::net::{Shutdown, SocketAddr};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_h1::server;
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use carawaybarrow_core::Map;
+use futures::FutureExt;
+use http_types::Request;
+use snafu::{ResultExt, Snafu};
+
+/// Interval at which a stopping server looks whether its connections have ended.
+const STOP_POLL: Duration = Duration::from_millis(10);
+
+/// A server that can't listen.
+#[derive(Debug, Snafu)]
+#[snafu(display("can't listen on {address}: {source}"))]
+pub struct ListenError {
+    address: SocketAddr,
+    source: std::io::Error,
+}
+
+#[derive(Debug)]
+struct Connection {
+    stream: TcpStream,
+    busy: Arc<AtomicBool>,
+}
+
+/// Connections and requests in progress.
+#[derive(Debug, Default)]
+struct Tracker {
+    stopping: AtomicBool,
+    next: AtomicU64,
+    requests: AtomicUsize,
+    connections: Mutex<Map<u64, Connection>>,
+}
+
+impl Tracker {
+    fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+
+    fn add(&self, stream: TcpStream) -> (u64, Arc<AtomicBool>) {
+        let id = self.next.fetch_add(1, Ordering::Relaxed);
+        let busy = Arc::new(AtomicBool::new(false));
+        let connection = Connection { stream, busy: Arc::clone(&busy) };
+        self.connections.lock().expect("no holder panics").insert(id, connection);
+        (id, busy)
+    }
+
+    fn remove(&self, id: u64) {
+        self.connections.lock().expect("no holder panics").remove(&id);
+    }
+
+    /// Ends the reading side of idle connections; a request that was already received is still served.
+    fn close_idle(&self) {
+        for connection in self.connections.lock().expect("no holder panics").values() {
+            if !connection.busy.load(Ordering::SeqCst) {
+                // An error means that the peer has closed the connection.
+                drop(connection.stream.shutdown(Shutdown::Read));
+            }
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.connections.lock().expect("no holder panics").is_empty()
+    }
+}
+
+/// Handle of a listening server.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    address: SocketAddr,
+    tracker: Arc<Tracker>,
+}
+
+impl Handle {
+    /// Address on which the server listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Requests in progress.
+    #[must_use]
+    pub fn requests(&self) -> usize {
+        self.tracker.requests.load(Ordering::SeqCst)
+    }
+
+    /// Open connections.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.tracker.connections.lock().expect("no holder panics").len()
+    }
+
+    /// Asks callers to go elsewhere: each answer from now on ends its connection.
+    pub fn start_stop(&self) {
+        self.tracker.stopping.store(true, Ordering::SeqCst);
+    }
+
+    /// Stops listening and waits until each request in progress has been answered.
+    pub async fn finish_stop(&self) {
+        self.start_stop();
+        while !self.tracker.is_empty() {
+            self.tracker.close_idle();
+            task::sleep(STOP_POLL).await;
+        }
+    }
+}
+
+/// Starts to serve an application.
+///
+/// # Errors
+///
+/// Fails if the address can't be used.
+pub async fn listen<S>(address: SocketAddr, app: tide::Server<S>) -> Result<Handle, ListenError>
+where
+    S: Clone + Send + Sync + 'static,
+{
+    let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
+    let address = listener.local_addr().context(ListenSnafu { address })?;
+    let handle = Handle { address, tracker: Arc::default() };
+    task::spawn(accept_connections(listener, app, Arc::clone(&handle.tracker)));
+    Ok(handle)
+}
+
+async fn accept_connections<S>(listener: TcpListener, app: tide::Server<S>, tracker: Arc<Tracker>)
+where
+    S: Clone + Send + Sync + 'static,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Accept fails for lack of file descriptors among others; the pause lets connections end.
+            task::sleep(STOP_POLL).await;
+            continue;
+        };
+        // Without this, an answer in two segments waits for the delayed acknowledgement of the first.
+        if stream.set_nodelay(true).is_ok() {
+            task::spawn(serve_connection(stream, app.clone(), Arc::clone(&tracker)));
+        }
+    }
+}
+
+async fn serve_connection<S>(stream: TcpStream, app: tide::Server<S>, tracker: Arc<Tracker>)
+where
+    S: Clone + Send + Sync + 'static,
+{
+    let (id, busy) = tracker.add(stream.clone());
+    let endpoint = |req: Request| {
+        busy.store(true, Ordering::SeqCst);
+        tracker.requests.fetch_add(1, Ordering::SeqCst);
+        let tracker = &tracker;
+        respond(&app, req).map(move |mut res| {
+            tracker.requests.fetch_sub(1, Ordering::SeqCst);
+            if tracker.is_stopping() {
+                res.insert_header("connection", "close");
+            }
+            Ok(res)
+        })
+    };
+    let mut connection = server::Server::new(stream, endpoint);
+    while let Ok(server::ConnectionStatus::KeepAlive) = connection.accept_one().await {
+        busy.store(false, Ordering::SeqCst);
+        if tracker.is_stopping() {
+            break;
+        }
+    }
+    tracker.remove(id);
+}
+
+async fn respond<S>(app: &tide::Server<S>, req: Request) -> http_types::Response
+where
+    S: Clone + Send + Sync + 'static,
+{
+    let answer: http_types::Result<http_types::Response> = app.respond(req).await;
+    answer.unwrap_or_else(|e| http_types::Response::new(e.status()))
+}
--- /dev/null
+++ b/crates/carawaybarrow/src/settings.rs
@@ -0,0 +1,290 @@
+//! Settings of an entry process, in JSON with comments.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use carawaybarrow_core::finding::Findings;
+use carawaybarrow_core::ids::{DataCentreId, EntryId, OperatorId};
+use carawaybarrow_core::keys::KeyHash;
+use carawaybarrow_core::units::Millis;
+use jsonc_parser::ParseOptions;
+use jsonc_parser::ast::{Object, ObjectProp, Value};
+use jsonc_parser::common::Ranged;
+
+/// Bounds and default of the number of job shards.
+const JOB_SHARDS: (u64, u64, u64) = (1, 1024, 16);
+
+/// Bounds and default of the largest accepted request body, in bytes.
+const BODY_BYTES: (u64, u64, u64) = (1024, 1_000_000, 1_000_000);
+
+/// Bounds and default of the outage limit; the default covers an outage of an hour with a margin.
+const OUTAGE_LIMIT: (Millis, Millis, Millis) =
+    (Millis::from_secs(10), Millis::from_secs(6 * 3600), Millis::from_secs(75 * 60));
+
+/// Bounds and default of the time between the announcement of a stop and its start.
+const DRAIN_DELAY: (Millis, Millis, Millis) = (Millis(0), Millis::from_secs(60), Millis::from_secs(2));
+
+/// An operator and the hash of the operator's key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Operator {
+    /// Name, which is recorded with each change.
+    pub name: OperatorId,
+    /// SHA-256 of the key.
+    pub key_sha256: KeyHash,
+}
+
+/// Settings of an entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Name of the entry; at most one process runs under a name.
+    pub entry: EntryId,
+    /// Data centre of the entry.
+    pub data_centre: DataCentreId,
+    /// Address for callers and operators.
+    pub callers: SocketAddr,
+    /// Address for other entries.
+    pub peers: SocketAddr,
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Address of the VM list.
+    pub vm_list: SocketAddr,
+    /// Peer addresses of other entries, asked for the configuration when the store is down at the start.
+    pub seeds: Vec<SocketAddr>,
+    /// Operators and their keys.
+    pub operators: Vec<Operator>,
+    /// Number of job shards; the same at all entries.
+    pub job_shards: u16,
+    /// Largest accepted request body in bytes.
+    pub body_bytes: u64,
+    /// How long keyed work goes on while no entry reaches the store.
+    pub outage_limit: Millis,
+    /// Time between a failing readiness check and the end of listening.
+    pub drain_delay: Millis,
+}
+
+impl Settings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns all problems of the file, each with its line and column.
+    pub fn load(path: &Path) -> Result<Self, Findings> {
+        let text = std::fs::read_to_string(path).map_err(|e| {
+            let mut findings = Findings::new();
+            findings.add(path.display().to_string(), e.to_string());
+            findings
+        })?;
+        Self::parse(&text)
+    }
+
+    /// Reads settings from JSON with comments.
+    ///
+    /// # Errors
+    ///
+    /// Returns all problems of the text, each with its line and column.
+    pub fn parse(text: &str) -> Result<Self, Findings> {
+        let mut findings = Findings::new();
+        let parsed = jsonc_parser::parse_to_ast(text, &Default::default(), &ParseOptions::default());
+        let value = match parsed {
+            Ok(parsed) => parsed.value,
+            Err(e) => {
+                findings.add(format!("{}:{}", e.line_display(), e.column_display()), e.kind().to_string());
+                return Err(findings);
+            }
+        };
+        let Some(Value::Object(root)) = value else {
+            findings.add("1:1", "the settings are one object in braces");
+            return Err(findings);
+        };
+        let mut reader = Reader { text, object: &root, findings: &mut findings, known: Vec::new() };
+        let settings = read_settings(&mut reader);
+        reader.report_unknown();
+        match settings {
+            Some(settings) => findings.into_result(settings),
+            None => Err(findings),
+        }
+    }
+}
+
+fn read_settings(reader: &mut Reader<'_, '_>) -> Option<Settings> {
+    // Every field is read before the first missing one ends the function, so that all problems are reported.
+    let entry = reader.read_text("entry", true);
+    let data_centre = reader.read_text("data_centre", true);
+    let callers = reader.read_text("callers", true);
+    let peers = reader.read_text("peers", true);
+    let store = reader.read_text("store", true);
+    let vm_list = reader.read_text("vm_list", true);
+    let seeds = reader.read_list("seeds");
+    let operators = read_operators(reader);
+    let job_shards = reader.read_number("job_shards", JOB_SHARDS);
+    let body_bytes = reader.read_number("body_bytes", BODY_BYTES);
+    let outage_limit = reader.read_duration("outage_limit", OUTAGE_LIMIT);
+    let drain_delay = reader.read_duration("drain_delay", DRAIN_DELAY);
+    if let (Some(callers), Some(peers)) = (callers, peers)
+        && callers == peers
+    {
+        reader.add("peers", "callers and peers need different addresses");
+    }
+    Some(Settings {
+        entry: entry?,
+        data_centre: data_centre?,
+        callers: callers?,
+        peers: peers?,
+        store: store?,
+        vm_list: vm_list?,
+        seeds,
+        operators,
+        job_shards: u16::try_from(job_shards?).ok()?,
+        body_bytes: body_bytes?,
+        outage_limit: outage_limit?,
+        drain_delay: drain_delay?,
+    })
+}
+
+fn read_operators(reader: &mut Reader<'_, '_>) -> Vec<Operator> {
+    let Some(prop) = reader.find("operators") else {
+        reader.add("operators", "at least one operator is needed, or nobody can change the configuration");
+        return Vec::new();
+    };
+    let Value::Array(array) = &prop.value else {
+        reader.add_at(prop.value.range().start, "operators: expected a list of objects");
+        return Vec::new();
+    };
+    let mut operators = Vec::new();
+    for element in &array.elements {
+        let Value::Object(object) = element else {
+            reader.add_at(element.range().start, "operators: expected an object with name and key_sha256");
+            continue;
+        };
+        let mut inner = Reader { text: reader.text, object, findings: &mut *reader.findings, known: Vec::new() };
+        let name = inner.read_text("name", true);
+        let key_sha256 = inner.read_hash("key_sha256");
+        inner.report_unknown();
+        if let (Some(name), Some(key_sha256)) = (name, key_sha256) {
+            operators.push(Operator { name, key_sha256 });
+        }
+    }
+    operators
+}
+
+/// Reads the fields of one object and collects problems.
+struct Reader<'a, 'f> {
+    text: &'a str,
+    object: &'a Object<'a>,
+    findings: &'f mut Findings,
+    known: Vec<&'static str>,
+}
+
+impl<'a> Reader<'a, '_> {
+    fn find(&mut self, name: &'static str) -> Option<&'a ObjectProp<'a>> {
+        self.known.push(name);
+        self.object.get(name)
+    }
+
+    /// Adds a problem at a field, or at the start of the object if the field is missing.
+    fn add(&mut self, name: &'static str, message: &str) {
+        let start = self.object.get(name).map_or(self.object.range.start, |p| p.range.start);
+        self.add_at(start, &format!("{name}: {message}"));
+    }
+
+    fn add_at(&mut self, offset: usize, message: &str) {
+        self.findings.add(find_line_column(self.text, offset), message);
+    }
+
+    fn read_text<T>(&mut self, name: &'static str, required: bool) -> Option<T>
+    where
+        T: std::str::FromStr<Err: std::fmt::Display>,
+    {
+        let Some(prop) = self.find(name) else {
+            if required {
+                self.add(name, "missing");
+            }
+            return None;
+        };
+        let Value::StringLit(text) = &prop.value else {
+            self.add(name, "expected a text in quotes");
+            return None;
+        };
+        match text.value.parse() {
+            Ok(value) => Some(value),
+            Err(e) => {
+                self.add(name, &e.to_string());
+                None
+            }
+        }
+    }
+
+    fn read_hash(&mut self, name: &'static str) -> Option<KeyHash> {
+        let text = self.read_text::<String>(name, true)?;
+        match KeyHash::try_from(smol_str::SmolStr::new(text)) {
+            Ok(hash) => Some(hash),
+            Err(e) => {
+                self.add(name, &e.to_string());
+                None
+            }
+        }
+    }
+
+    fn read_list(&mut self, name: &'static str) -> Vec<SocketAddr> {
+        let Some(prop) = self.find(name) else { return Vec::new() };
+        let Value::Array(array) = &prop.value else {
+            self.add(name, "expected a list of addresses");
+            return Vec::new();
+        };
+        let mut addresses = Vec::new();
+        for element in &array.elements {
+            let parsed = element.as_string_lit().and_then(|text| text.value.parse().ok());
+            match parsed {
+                Some(address) => addresses.push(address),
+                None => {
+                    self.add_at(element.range().start, &format!("{name}: expected an address such as 10.0.0.1:8081"))
+                }
+            }
+        }
+        addresses
+    }
+
+    fn read_number(&mut self, name: &'static str, (min, max, default): (u64, u64, u64)) -> Option<u64> {
+        let Some(prop) = self.find(name) else { return Some(default) };
+        let number = prop.value.as_number_lit().and_then(|n| n.value.parse().ok());
+        let in_range = number.filter(|n| (min..=max).contains(n));
+        if in_range.is_none() {
+            self.add(name, &format!("expected a whole number from {min} to {max}"));
+        }
+        in_range
+    }
+
+    fn read_duration(&mut self, name: &'static str, (min, max, default): (Millis, Millis, Millis)) -> Option<Millis> {
+        if self.object.get(name).is_none() {
+            self.known.push(name);
+            return Some(default);
+        }
+        let value = self.read_text::<Millis>(name, false)?;
+        if !(min..=max).contains(&value) {
+            self.add(name, &format!("expected a duration from {min} to {max}"));
+            return None;
+        }
+        Some(value)
+    }
+
+    fn report_unknown(&mut self) {
+        let mut seen = Vec::new();
+        for prop in &self.object.properties {
+            let name = prop.name.as_str();
+            if !self.known.contains(&name) {
+                self.add_at(prop.range.start, &format!("{name}: unknown field"));
+            } else if seen.contains(&name) {
+                self.add_at(prop.range.start, &format!("{name}: given twice"));
+            }
+            seen.push(name);
+        }
+    }
+}
+
+/// Line and column, counted from 1, of a byte offset.
+fn find_line_column(text: &str, offset: usize) -> String {
+    let before = &text[..offset];
+    let line = before.matches('\n').count() + 1;
+    let column = before.chars().rev().take_while(|c| *c != '\n').count() + 1;
+    format!("{line}:{column}")
+}
--- /dev/null
+++ b/crates/carawaybarrow/src/worker.rs
@@ -0,0 +1,335 @@
+//! Workers on the VMs of the pools.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use carawaybarrow_core::ids::{EntryId, Incarnation, LeaseId, QueueId, TaskId, TeamId};
+use carawaybarrow_core::units::Millis;
+use futures::future::BoxFuture;
+use http_types::Method;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::http_client::{Call, CallError, Client, Reply};
+
+/// Time for an answer to a control call.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Answer to a request for a slot lease.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaseAnswer {
+    /// Granted.
+    Granted(LeaseId),
+    /// All slots are leased.
+    Full,
+    /// The worker is in graceful shutdown.
+    Draining,
+    /// The worker can't be reached, or its answer makes no sense.
+    Unreachable(String),
+}
+
+/// A start of a task.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// Task.
+    pub task: TaskId,
+    /// Slot lease.
+    pub lease: LeaseId,
+    /// Queue.
+    pub queue: QueueId,
+    /// Team; absent on queues open to all.
+    pub team: Option<TeamId>,
+    /// Input.
+    pub payload: String,
+    /// Whether to wait for the end.
+    pub wait: bool,
+    /// Time to wait for the answer.
+    pub limit: Duration,
+}
+
+/// Answer to a start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StartAnswer {
+    /// Ended with this answer.
+    Answer(Vec<u8>),
+    /// Running.
+    Started,
+    /// Not started, because the lease had lapsed.
+    LeaseLapsed,
+    /// Not started, because the worker is in graceful shutdown.
+    Draining,
+    /// Not started, because the worker could not be reached.
+    NotSent(String),
+    /// Ran and failed.
+    Failed(String),
+    /// May have run.
+    Unknown(String),
+}
+
+/// State of a task.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(tag = "state", rename_all = "snake_case")]
+pub enum TaskState {
+    /// Running.
+    Running,
+    /// Ended with an answer.
+    Done {
+        /// Answer.
+        answer: String,
+    },
+    /// Ended with a failure.
+    Failed {
+        /// Reason.
+        #[serde(default)]
+        reason: String,
+    },
+    /// Stopped on request or because its lease lapsed.
+    Stopped,
+}
+
+/// A running task in a worker's status.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct RunningTask {
+    /// Task.
+    pub task: TaskId,
+    /// Lease under which it runs.
+    pub lease: LeaseId,
+    /// Entry that holds the lease.
+    pub entry: EntryId,
+    /// Team; absent on queues open to all.
+    #[serde(default)]
+    pub team: Option<TeamId>,
+}
+
+/// Status of a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct Status {
+    /// Run of the worker.
+    pub incarnation: Incarnation,
+    /// Slots.
+    pub slots: u32,
+    /// Slots without a lease.
+    pub free: u32,
+    /// Whether it is in graceful shutdown.
+    pub draining: bool,
+    /// Running tasks.
+    pub tasks: Vec<RunningTask>,
+}
+
+/// A request to a running task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TaskRequest {
+    /// End it.
+    Stop,
+    /// Save its state, so that a later attempt goes on from there.
+    Checkpoint,
+    /// Slow it down.
+    Throttle,
+}
+
+/// A request to a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkerRequest {
+    /// Take no new task.
+    Drain,
+    /// Take tasks again.
+    Undrain,
+    /// Restart the VM.
+    Reboot,
+}
+
+/// Workers as this process uses them.
+pub trait Workers: Send + Sync {
+    /// Asks for a lease on a slot.
+    fn lease(&self, address: SocketAddr, ttl: Millis) -> BoxFuture<'_, LeaseAnswer>;
+
+    /// Renews leases; returns those that have lapsed, or `None` if the worker can't be reached.
+    fn renew(&self, address: SocketAddr, leases: Vec<LeaseId>) -> BoxFuture<'_, Option<Vec<LeaseId>>>;
+
+    /// Gives a lease back.
+    fn release(&self, address: SocketAddr, lease: LeaseId) -> BoxFuture<'_, ()>;
+
+    /// Starts a task.
+    fn start(&self, address: SocketAddr, start: Start) -> BoxFuture<'_, StartAnswer>;
+
+    /// State of a task; `Ok(None)` if the worker doesn't know it, an error if the worker can't be reached.
+    fn task<'a>(&'a self, address: SocketAddr, task: &'a TaskId)
+    -> BoxFuture<'a, Result<Option<TaskState>, CallError>>;
+
+    /// Asks something of a task.
+    fn request_task<'a>(&'a self, address: SocketAddr, task: &'a TaskId, req: TaskRequest) -> BoxFuture<'a, bool>;
+
+    /// Status; `None` if the worker can't be reached.
+    fn status(&self, address: SocketAddr) -> BoxFuture<'_, Option<Status>>;
+
+    /// Asks something of a worker; returns whether it agreed.
+    fn request(&self, address: SocketAddr, req: WorkerRequest) -> BoxFuture<'_, bool>;
+}
+
+/// Client of workers that speak HTTP.
+#[derive(Debug)]
+pub struct HttpWorkers {
+    entry: EntryId,
+    client: Client,
+}
+
+#[derive(Serialize)]
+struct LeaseRequest<'a> {
+    entry: &'a EntryId,
+    ttl_ms: Millis,
+}
+
+#[derive(Deserialize)]
+struct GrantedLease {
+    lease: LeaseId,
+}
+
+#[derive(Serialize)]
+struct RenewRequest {
+    leases: Vec<LeaseId>,
+}
+
+#[derive(Deserialize)]
+struct RenewAnswer {
+    lapsed: Vec<LeaseId>,
+}
+
+#[derive(Default, Deserialize)]
+struct Reason {
+    #[serde(default)]
+    reason: SmolStr,
+}
+
+impl HttpWorkers {
+    /// Creates a client that acts for an entry.
+    #[must_use]
+    pub const fn new(entry: EntryId, client: Client) -> Self {
+        Self { entry, client }
+    }
+
+    async fn control(&self, address: SocketAddr, call: Call) -> Result<Reply, CallError> {
+        self.client.call(address, &call, CONTROL_TIMEOUT).await
+    }
+}
+
+fn to_json<T: Serialize>(value: &T) -> Vec<u8> {
+    carawaybarrow_core::commit::encode_json(value)
+}
+
+fn read_reason(reply: &Reply) -> SmolStr {
+    reply.json::<Reason>().unwrap_or_default().reason
+}
+
+/// Reads the answer to a start. An answer that belongs to another task or can't be read says nothing about this one.
+fn read_start(task: &TaskId, reply: Reply) -> StartAnswer {
+    match reply.status {
+        200 if reply.task().is_some_and(|t| t == task.as_str()) => StartAnswer::Answer(reply.body),
+        200 => StartAnswer::Unknown("the answer belongs to another task".to_owned()),
+        202 => StartAnswer::Started,
+        409 => match read_reason(&reply).as_str() {
+            "lease_lapsed" => StartAnswer::LeaseLapsed,
+            "draining" => StartAnswer::Draining,
+            other => StartAnswer::Unknown(format!("the worker answered 409 with the reason {other:?}")),
+        },
+        500 => StartAnswer::Failed(read_reason(&reply).to_string()),
+        status => StartAnswer::Unknown(format!("the worker answered with status {status}")),
+    }
+}
+
+impl Workers for HttpWorkers {
+    fn lease(&self, address: SocketAddr, ttl: Millis) -> BoxFuture<'_, LeaseAnswer> {
+        Box::pin(async move {
+            let body = to_json(&LeaseRequest { entry: &self.entry, ttl_ms: ttl });
+            let reply = match self.control(address, Call::new(Method::Post, "/leases").with_body(body)).await {
+                Ok(reply) => reply,
+                Err(e) => return LeaseAnswer::Unreachable(e.to_string()),
+            };
+            match reply.status {
+                200 => match reply.json::<GrantedLease>() {
+                    Ok(granted) => LeaseAnswer::Granted(granted.lease),
+                    Err(e) => LeaseAnswer::Unreachable(e.to_string()),
+                },
+                409 if read_reason(&reply) == "draining" => LeaseAnswer::Draining,
+                409 => LeaseAnswer::Full,
+                status => LeaseAnswer::Unreachable(format!("the worker answered with status {status}")),
+            }
+        })
+    }
+
+    fn renew(&self, address: SocketAddr, leases: Vec<LeaseId>) -> BoxFuture<'_, Option<Vec<LeaseId>>> {
+        Box::pin(async move {
+            let body = to_json(&RenewRequest { leases });
+            let reply = self.control(address, Call::new(Method::Post, "/leases/renew").with_body(body)).await.ok()?;
+            Some(reply.json::<RenewAnswer>().ok()?.lapsed)
+        })
+    }
+
+    fn release(&self, address: SocketAddr, lease: LeaseId) -> BoxFuture<'_, ()> {
+        Box::pin(async move {
+            // A lease that can't be given back lapses by itself.
+            drop(self.control(address, Call::new(Method::Delete, format!("/leases/{lease}"))).await);
+        })
+    }
+
+    fn start(&self, address: SocketAddr, start: Start) -> BoxFuture<'_, StartAnswer> {
+        Box::pin(async move {
+            let path = format!("/tasks?lease={}&task={}&wait={}", start.lease, start.task, start.wait);
+            let mut call =
+                Call::new(Method::Post, path).with_body(start.payload).with_header("x-queue", start.queue.as_str());
+            if let Some(team) = &start.team {
+                call = call.with_header("x-team", team.as_str());
+            }
+            match self.client.call(address, &call, start.limit).await {
+                Ok(reply) => read_start(&start.task, reply),
+                Err(e) if e.may_have_arrived() => StartAnswer::Unknown(e.to_string()),
+                Err(e) => StartAnswer::NotSent(e.to_string()),
+            }
+        })
+    }
+
+    fn task<'a>(
+        &'a self,
+        address: SocketAddr,
+        task: &'a TaskId,
+    ) -> BoxFuture<'a, Result<Option<TaskState>, CallError>> {
+        Box::pin(async move {
+            let reply = self.control(address, Call::new(Method::Get, format!("/tasks/{task}"))).await?;
+            match reply.status {
+                404 => Ok(None),
+                _ => match reply.json() {
+                    Ok(state) => Ok(Some(state)),
+                    Err(e) => Err(CallError::Broken { address, message: e.to_string() }),
+                },
+            }
+        })
+    }
+
+    fn request_task<'a>(&'a self, address: SocketAddr, task: &'a TaskId, req: TaskRequest) -> BoxFuture<'a, bool> {
+        let verb = match req {
+            TaskRequest::Stop => "stop",
+            TaskRequest::Checkpoint => "checkpoint",
+            TaskRequest::Throttle => "throttle",
+        };
+        Box::pin(async move {
+            let call = Call::new(Method::Post, format!("/tasks/{task}/{verb}"));
+            self.control(address, call).await.is_ok_and(|reply| reply.status < 300)
+        })
+    }
+
+    fn status(&self, address: SocketAddr) -> BoxFuture<'_, Option<Status>> {
+        Box::pin(
+            async move { self.control(address, Call::new(Method::Get, "/status")).await.ok()?.json::<Status>().ok() },
+        )
+    }
+
+    fn request(&self, address: SocketAddr, req: WorkerRequest) -> BoxFuture<'_, bool> {
+        let path = match req {
+            WorkerRequest::Drain => "/drain",
+            WorkerRequest::Undrain => "/undrain",
+            WorkerRequest::Reboot => "/reboot",
+        };
+        Box::pin(async move {
+            self.control(address, Call::new(Method::Post, path)).await.is_ok_and(|reply| reply.status < 300)
+        })
+    }
+}
