Add the job shard with claims, tombstones and bounds

Cause: durable jobs need one document whose rules keep I6 and I7 whatever entry writes to it.

Conclusion: entries can build acceptance and dispatch on the outcomes. The document can't check that a lease has lapsed before Requeue or MarkUnknown; that remains with the shard owner.

--- /dev/null
+++ b/crates/core/src/journal_record.rs
@@ -0,0 +1,300 @@
+//! One durable job of a shard: its record, and the tombstone that replaces it.
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::ids::{EntryId, Incarnation, TaskId, VmId};
+use crate::job::{Content, JobSpec, Ran};
+use crate::journal_command::{Bound, JobOutcome, JobView, Rejection, RequeueReason, Resolution};
+use crate::journal_state::{Claim, End, Resolved, State, StateName, count_json_bytes, cut_reason, fits_inline};
+use crate::units::WallTime;
+
+/// Different VMs on which an idempotent job fails before it ends as failed.
+pub const MAX_FAILED_VMS: usize = 3;
+
+/// Failures after which an idempotent job ends as failed even if they were on fewer VMs.
+pub const MAX_FAILURES: u32 = 10;
+
+/// Lost workers after which an idempotent job ends as failed, because it may be what stops them.
+///
+/// It is higher than [`MAX_FAILED_VMS`] since a rack or a data centre that goes down says nothing about the job.
+pub const MAX_LOST_WORKERS: u32 = 10;
+
+/// A job that isn't archived.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The job as accepted.
+    pub spec: JobSpec,
+    /// State.
+    pub state: State,
+    /// Whether earlier attempts ran, not counting the claim in force.
+    pub ran: Ran,
+    /// Different VMs on which the job failed.
+    pub failed_on: Vec<VmId>,
+    /// Failures.
+    pub failures: u32,
+    /// Workers that were lost with the job.
+    pub lost_workers: u32,
+    /// Why the last attempt failed.
+    pub last_failure: Option<SmolStr>,
+    /// Bytes set aside for the record.
+    pub(crate) reserved: usize,
+}
+
+/// What is left of an archived job.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Tombstone {
+    #[serde(rename = "s")]
+    state: StateName,
+    #[serde(rename = "r")]
+    ran: Ran,
+    #[serde(rename = "t")]
+    pub(crate) archived_at: WallTime,
+    /// Length of an answer under its own key.
+    #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
+    stored: Option<u64>,
+}
+
+impl Record {
+    pub(crate) fn new(spec: JobSpec, reserved: usize) -> Self {
+        let state = State::Waiting;
+        let (failed_on, failures, lost_workers) = (Vec::new(), 0, 0);
+        Self { spec, state, ran: Ran::No, failed_on, failures, lost_workers, last_failure: None, reserved }
+    }
+
+    /// What a caller is told.
+    #[must_use]
+    pub fn view(&self) -> JobView {
+        let mut view = JobView {
+            state: self.state.name(),
+            ran: self.ran,
+            answer: None,
+            reason: None,
+            cancel_requested: false,
+            archived: false,
+        };
+        match &self.state {
+            State::Waiting => {}
+            State::Claimed { cancel_requested, .. } => {
+                view.ran = if self.ran == Ran::Yes { Ran::Yes } else { Ran::Unknown };
+                view.cancel_requested = cancel_requested.is_some();
+            }
+            State::Ended { end, .. } => {
+                view.ran = end.ran();
+                view.reason = end.reason().cloned();
+                if let End::Done { answer } = end {
+                    view.answer.clone_from(answer);
+                }
+            }
+        }
+        view
+    }
+
+    fn end(&mut self, end: End, at: WallTime) -> JobOutcome {
+        let claim = match std::mem::replace(&mut self.state, State::Waiting) {
+            State::Claimed { claim, .. } => Some(claim),
+            State::Waiting | State::Ended { .. } => None,
+        };
+        self.state = State::Ended { end, at, claim, resolved: None };
+        JobOutcome::Ended { view: Box::new(self.view()) }
+    }
+
+    /// Ends an attempt that gave no answer: the job waits again, or ends if its caller cancelled it.
+    fn wait_again(&mut self, at: WallTime) -> JobOutcome {
+        if matches!(&self.state, State::Claimed { cancel_requested: Some(_), .. }) {
+            return self.end(End::Cancelled { ran: self.ran }, at);
+        }
+        self.state = State::Waiting;
+        JobOutcome::WaitsAgain
+    }
+
+    fn claim_of(&self, task: &TaskId) -> Result<&Claim, Rejection> {
+        match &self.state {
+            State::Waiting => Err(Rejection::NotClaimed),
+            State::Claimed { claim, .. } if claim.task == *task => Ok(claim),
+            State::Claimed { claim, .. } => Err(Rejection::AlreadyClaimed { claim: Box::new(claim.clone()) }),
+            State::Ended { .. } => Err(Rejection::Ended { view: Box::new(self.view()) }),
+        }
+    }
+
+    pub(crate) fn claim(&mut self, claim: &Claim) -> Result<JobOutcome, Rejection> {
+        match &self.state {
+            State::Waiting => {
+                self.state = State::Claimed { claim: claim.clone(), cancel_requested: None };
+                Ok(JobOutcome::Claimed)
+            }
+            State::Claimed { claim, .. } => Err(Rejection::AlreadyClaimed { claim: Box::new(claim.clone()) }),
+            State::Ended { .. } => Err(Rejection::Ended { view: Box::new(self.view()) }),
+        }
+    }
+
+    /// The state of a job that has already ended in this way through the same task.
+    fn find_repetition(&self, task: &TaskId, name: StateName) -> Option<JobOutcome> {
+        match &self.state {
+            State::Ended { end, claim: Some(claim), resolved: None, .. }
+                if claim.task == *task && end.name() == name =>
+            {
+                Some(JobOutcome::AlreadyThere { view: Box::new(self.view()) })
+            }
+            _ => None,
+        }
+    }
+
+    pub(crate) fn finish(
+        &mut self,
+        task: &TaskId,
+        answer: &Content,
+        at: WallTime,
+        room: usize,
+    ) -> Result<JobOutcome, Rejection> {
+        if let Some(outcome) = self.find_repetition(task, StateName::Done) {
+            return Ok(outcome);
+        }
+        self.claim_of(task)?;
+        let bytes = count_inline_bytes(answer)?;
+        if bytes > room {
+            return Err(Rejection::Full { bound: Bound::Bytes });
+        }
+        self.reserved += bytes;
+        self.ran = Ran::Yes;
+        // A task that ended before it could be stopped is done, even if a cancellation was requested.
+        Ok(self.end(End::Done { answer: Some(answer.clone()) }, at))
+    }
+
+    pub(crate) fn fail(&mut self, task: &TaskId, reason: &str, at: WallTime) -> Result<JobOutcome, Rejection> {
+        if let Some(outcome) = self.find_repetition(task, StateName::Failed) {
+            return Ok(outcome);
+        }
+        let vm = self.claim_of(task)?.vm.clone();
+        let reason = cut_reason(reason);
+        self.ran = Ran::Yes;
+        if matches!(&self.state, State::Claimed { cancel_requested: Some(_), .. }) {
+            return Ok(self.end(End::Cancelled { ran: Ran::Yes }, at));
+        }
+        self.failures += 1;
+        if !self.failed_on.contains(&vm) {
+            self.failed_on.push(vm);
+        }
+        let is_permanent = self.failed_on.len() >= MAX_FAILED_VMS || self.failures >= MAX_FAILURES;
+        if !self.spec.idempotent || is_permanent {
+            return Ok(self.end(End::Failed { ran: Ran::Yes, reason }, at));
+        }
+        self.last_failure = Some(reason);
+        Ok(self.wait_again(at))
+    }
+
+    pub(crate) fn release(
+        &mut self,
+        task: &TaskId,
+        entry: &EntryId,
+        incarnation: Incarnation,
+        at: WallTime,
+    ) -> Result<JobOutcome, Rejection> {
+        let claim = self.claim_of(task)?;
+        // Anybody else can't know that no byte of the start was sent.
+        if claim.entry != *entry || claim.incarnation != incarnation {
+            return Err(Rejection::NotClaimant { entry: claim.entry.clone(), incarnation: claim.incarnation });
+        }
+        Ok(self.wait_again(at))
+    }
+
+    pub(crate) fn requeue(&mut self, task: &TaskId, why: RequeueReason, at: WallTime) -> Result<JobOutcome, Rejection> {
+        self.claim_of(task)?;
+        if !self.spec.idempotent {
+            return Err(Rejection::NotIdempotent);
+        }
+        self.ran = match (self.ran, why) {
+            (Ran::Yes, _) | (_, RequeueReason::Preempted) => Ran::Yes,
+            _ => Ran::Unknown,
+        };
+        if why == RequeueReason::WorkerLost {
+            self.lost_workers += 1;
+            if self.lost_workers >= MAX_LOST_WORKERS {
+                let reason = cut_reason(&format!("{MAX_LOST_WORKERS} workers were lost while they ran the job"));
+                return Ok(self.end(End::Failed { ran: self.ran, reason }, at));
+            }
+        }
+        Ok(self.wait_again(at))
+    }
+
+    pub(crate) fn mark_unknown(&mut self, task: &TaskId, reason: &str, at: WallTime) -> Result<JobOutcome, Rejection> {
+        if let Some(outcome) = self.find_repetition(task, StateName::Unknown) {
+            return Ok(outcome);
+        }
+        self.claim_of(task)?;
+        if self.spec.idempotent {
+            return Err(Rejection::Idempotent);
+        }
+        self.ran = Ran::Unknown;
+        Ok(self.end(End::Unknown { reason: cut_reason(reason) }, at))
+    }
+
+    pub(crate) fn resolve(&mut self, by: &Resolved, found: &Resolution) -> Result<JobOutcome, Rejection> {
+        let State::Ended { end, resolved, .. } = &mut self.state else { return Err(Rejection::NotUnknown) };
+        let new = match found {
+            Resolution::Done => End::Done { answer: None },
+            Resolution::Failed { reason } => End::Failed { ran: Ran::Yes, reason: cut_reason(reason) },
+            Resolution::NotRun => {
+                End::Failed { ran: Ran::No, reason: "an operator found that it never started".into() }
+            }
+        };
+        match resolved {
+            None if end.name() == StateName::Unknown => {
+                *end = new;
+                *resolved = Some(by.clone());
+                Ok(JobOutcome::Ended { view: Box::new(self.view()) })
+            }
+            Some(earlier) if earlier.by == by.by && *end == new => {
+                Ok(JobOutcome::AlreadyThere { view: Box::new(self.view()) })
+            }
+            Some(_) => Err(Rejection::Ended { view: Box::new(self.view()) }),
+            None => Err(Rejection::NotUnknown),
+        }
+    }
+
+    pub(crate) fn cancel(&mut self, at: WallTime) -> Result<JobOutcome, Rejection> {
+        match &mut self.state {
+            State::Waiting => Ok(self.end(End::Cancelled { ran: self.ran }, at)),
+            State::Claimed { cancel_requested: Some(_), .. } | State::Ended { end: End::Cancelled { .. }, .. } => {
+                Ok(JobOutcome::AlreadyThere { view: Box::new(self.view()) })
+            }
+            State::Claimed { claim, cancel_requested } => {
+                *cancel_requested = Some(at);
+                Ok(JobOutcome::CancelRequested { claim: Box::new(claim.clone()) })
+            }
+            State::Ended { .. } => Err(Rejection::Ended { view: Box::new(self.view()) }),
+        }
+    }
+
+    /// The tombstone of an ended job. An unknown outcome stays until an operator has resolved it.
+    pub(crate) fn bury(&self, at: WallTime) -> Option<Tombstone> {
+        let State::Ended { end, .. } = &self.state else { return None };
+        let stored = match end {
+            End::Unknown { .. } => return None,
+            End::Done { answer: Some(Content::Stored { bytes }) } => Some(*bytes),
+            _ => None,
+        };
+        Some(Tombstone { state: end.name(), ran: end.ran(), archived_at: at, stored })
+    }
+}
+
+impl Tombstone {
+    pub(crate) fn view(&self) -> JobView {
+        JobView {
+            state: self.state,
+            ran: self.ran,
+            answer: self.stored.map(|bytes| Content::Stored { bytes }),
+            reason: None,
+            cancel_requested: false,
+            archived: true,
+        }
+    }
+}
+
+pub(crate) fn count_inline_bytes(content: &Content) -> Result<usize, Rejection> {
+    match content {
+        Content::Inline { text } if fits_inline(text) => Ok(count_json_bytes(text)),
+        Content::Inline { .. } => Err(Rejection::TooLargeInline),
+        Content::Stored { .. } => Ok(0),
+    }
+}
--- /dev/null
+++ b/crates/core/tests/journal/cell.rs
@@ -0,0 +1,148 @@
+//! A store cell in memory, and builders for jobs and commands.
+
+use carawaybarrow_core::commit::{Commit, Document, Event, Step};
+use carawaybarrow_core::ids::{
+    ChangeId, ClassId, EntryId, Incarnation, JobId, LeaseId, PoolId, QueueId, StoreVersion, TaskId, TeamId, VmId,
+};
+use carawaybarrow_core::job::{Content, JobSpec, Size};
+use carawaybarrow_core::journal::{Claim, JobCommand, JobOutcome, JobShard};
+use carawaybarrow_core::units::WallTime;
+
+/// What the store does to the calls of one commit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreFault {
+    /// Refuses each call.
+    Down,
+    /// Drops each call without an answer.
+    Silent,
+    /// Loses the answer to the first write, which takes effect.
+    AnswerLost,
+    /// The first write takes effect, and no answer comes from then on.
+    AnswerLostThenSilent,
+    /// The first write is held back; the commit gets no answer and gives up, then the write arrives.
+    LateWrite,
+}
+
+/// A key of the store with compare-and-swap.
+#[derive(Clone, Debug, Default)]
+pub struct Cell {
+    version: u64,
+    bytes: Vec<u8>,
+    /// The value, decoded once at each write.
+    shard: JobShard,
+    /// A write that the network holds back.
+    late: Option<(StoreVersion, Vec<u8>)>,
+}
+
+impl Cell {
+    pub fn shard(&self) -> &JobShard {
+        &self.shard
+    }
+
+    pub fn version(&self) -> StoreVersion {
+        StoreVersion(self.version)
+    }
+
+    /// Delivers a write that was held back.
+    pub fn deliver_late(&mut self) {
+        if let Some((expect, bytes)) = self.late.take() {
+            self.write(expect, &bytes);
+        }
+    }
+
+    fn write(&mut self, expect: StoreVersion, bytes: &[u8]) -> Event {
+        if expect.0 != self.version {
+            return Event::Conflict;
+        }
+        self.version += 1;
+        self.bytes = bytes.to_vec();
+        self.shard = JobShard::decode(bytes).unwrap();
+        Event::Written(StoreVersion(self.version))
+    }
+
+    fn answer(&mut self, step: &Step<JobOutcome>, fault: Option<StoreFault>, writes: &mut u32) -> Event {
+        if let Step::Write { expect, bytes } = step {
+            *writes += 1;
+            if *writes == 1 && fault == Some(StoreFault::LateWrite) {
+                self.late = Some((*expect, bytes.clone()));
+            }
+        }
+        match (fault, &*writes) {
+            (Some(StoreFault::Down), _) => return Event::Refused,
+            (Some(StoreFault::Silent), _) => return Event::Lost,
+            (Some(StoreFault::LateWrite), 1..) => return Event::Lost,
+            (Some(StoreFault::AnswerLostThenSilent), 2..) => return Event::Lost,
+            _ => {}
+        }
+        let event = match step {
+            Step::Read if self.version == 0 => Event::Absent,
+            Step::Read => Event::Value { version: self.version(), bytes: self.bytes.clone() },
+            Step::Write { expect, bytes } => self.write(*expect, bytes),
+            _ => panic!("the commit has ended"),
+        };
+        let is_lost = match fault {
+            Some(StoreFault::AnswerLost) => *writes == 1 && matches!(step, Step::Write { .. }),
+            Some(StoreFault::AnswerLostThenSilent) => *writes >= 1,
+            _ => false,
+        };
+        if is_lost { Event::Lost } else { event }
+    }
+
+    /// Runs a commit to its end.
+    pub fn commit(&mut self, mut commit: Commit<JobShard>, fault: Option<StoreFault>) -> Step<JobOutcome> {
+        let mut writes = 0;
+        let mut step = commit.start();
+        while matches!(step, Step::Read | Step::Write { .. }) {
+            let event = self.answer(&step, fault, &mut writes);
+            step = commit.next(event);
+        }
+        step
+    }
+}
+
+pub fn commit_of(id: u64, commands: Vec<JobCommand>) -> Commit<JobShard> {
+    Commit::new(ChangeId::new(format!("c{id}")).unwrap(), commands)
+}
+
+pub fn job(id: &str) -> JobId {
+    JobId::new(id).unwrap()
+}
+
+pub fn task(id: &str) -> TaskId {
+    TaskId::new(id).unwrap()
+}
+
+pub fn entry(id: &str) -> EntryId {
+    EntryId::new(id).unwrap()
+}
+
+pub fn inline(text: &str) -> Content {
+    Content::Inline { text: text.to_owned() }
+}
+
+pub fn spec(id: &str, idempotent: bool) -> JobSpec {
+    JobSpec {
+        id: job(id),
+        team: Some(TeamId::new("clinic").unwrap()),
+        queue: QueueId::new("masters").unwrap(),
+        class: ClassId::new("patient").unwrap(),
+        pool: PoolId::new("render").unwrap(),
+        idempotent,
+        size: Size::default(),
+        expected_run: None,
+        deadline: None,
+        accepted_at: WallTime(1_000),
+        payload: inline("take 7"),
+    }
+}
+
+pub fn claim(by: &str, incarnation: u64, id: &str, vm: &str) -> Claim {
+    Claim {
+        entry: entry(by),
+        incarnation: Incarnation(incarnation),
+        vm: VmId::new(vm).unwrap(),
+        lease: LeaseId::new(id).unwrap(),
+        task: task(id),
+        at: WallTime(2_000),
+    }
+}
