Add admission of jobs and deadlines of classes and callers

Cause: an entry has to decide before it queues or stores anything whether a job is accepted, and a refusal has to be true. Change: `admission::admit` checks a request as a whole and reports every broken rule with its place. Idempotent work with a `within` target is urgent, all other work is durable. Work whose expected wait exceeds its slack is refused; patient work is refused for load only at the waiting bound or for its caller's own deadline. `deadline` (a new module) finds class deadlines and the latest start that a deadline allows.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod burn;
 pub mod commit;
 pub mod config;
+pub mod deadline;
 pub mod estimate;
 pub mod finding;
 pub mod fleet;
--- /dev/null
+++ b/crates/core/tests/admission.rs
@@ -0,0 +1,285 @@
+//! Admission: every refusal, deadlines, and the choice between urgent and durable.
+
+use carawaybarrow_core::Map;
+use carawaybarrow_core::admission::{self, Request, Room, Verdict, View};
+use carawaybarrow_core::commit::Document;
+use carawaybarrow_core::config::{Change, Class, Config, ConfigCommand, ConfigOutcome, Key, Pool, Queue, Target, Team};
+use carawaybarrow_core::deadline::{self, Deadline};
+use carawaybarrow_core::ids::{ClassId, KeyId, OperatorId, PoolId, QueueId, TeamId};
+use carawaybarrow_core::job::{self, Content, Refusal, Size};
+use carawaybarrow_core::keys::KeyHash;
+use carawaybarrow_core::units::{Millis, MonoTime, Percent, WallTime};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const DAY_MS: u64 = 86_400_000;
+const NOW: WallTime = WallTime(20_000 * DAY_MS + 3_600_000);
+
+fn pool() -> PoolId {
+    PoolId::new("render").unwrap()
+}
+
+fn config() -> Config {
+    let mut config = Config::default();
+    let class = |name: &str, target| Change::SetClass { id: ClassId::new(name).unwrap(), value: Class { target } };
+    let queue = |name: &str, class: &str, open_to_all, idempotent| {
+        let value = Queue { class: ClassId::new(class).unwrap(), pool: pool(), open_to_all, idempotent };
+        Change::SetQueue { id: QueueId::new(name).unwrap(), value }
+    };
+    let team = |name: &str| Change::SetTeam {
+        id: TeamId::new(name).unwrap(),
+        value: Team { share: Percent::new(40).unwrap(), limit: 10 },
+    };
+    let key = |name: &str, team: &str| Change::GiveKey {
+        id: KeyId::new(name).unwrap(),
+        value: Key { team: TeamId::new(team).unwrap(), hash: KeyHash::of_secret(&format!("secret-of-{team}")) },
+    };
+    let changes = [
+        class("urgent", Target::Within { ms: Millis(1100) }),
+        class("morning", Target::By { minute_of_day: 360 }),
+        class("patient", Target::Eventually),
+        Change::SetPool {
+            id: pool(),
+            value: Pool { min_available: Percent::new(80).unwrap(), spare: false, deadline_windows: Vec::new() },
+        },
+        queue("clips", "urgent", false, true),
+        queue("masters", "urgent", false, false),
+        queue("courses", "morning", false, true),
+        queue("archive", "patient", false, true),
+        queue("public", "urgent", true, true),
+        team("clinic"),
+        team("studio"),
+        key("k1", "clinic"),
+        key("k2", "studio"),
+    ];
+    for change in changes {
+        let by = OperatorId::new("ana").unwrap();
+        let outcome = config.apply(&ConfigCommand { by, at: NOW, expected: None, change });
+        assert!(matches!(outcome, ConfigOutcome::Accepted { .. }), "{outcome:?}");
+    }
+    config
+}
+
+fn workers() -> Map<PoolId, Size> {
+    Map::from_iter([(pool(), Size { cores: 64, memory_mb: 128_000, accelerators: 0 })])
+}
+
+fn request<'a>(queue: &'a str, key: Option<&'a KeyHash>) -> Request<'a> {
+    Request {
+        queue,
+        team: None,
+        key,
+        request_id: "r1",
+        payload: "{}",
+        size: Size::default(),
+        expected_run: None,
+        deadline: None,
+    }
+}
+
+fn view<'a>(config: &'a Config, largest_workers: &'a Map<PoolId, Size>) -> View<'a> {
+    View {
+        config,
+        largest_workers,
+        fresh: true,
+        store_reachable: true,
+        expected_wait: Millis(0),
+        room: Room::Free,
+        stopping: false,
+        now: NOW,
+    }
+}
+
+fn places(refusal: &Refusal) -> Vec<String> {
+    match refusal {
+        Refusal::Invalid { errors } | Refusal::NotAllowed { errors } => {
+            errors.iter().map(|finding| finding.place.to_string()).collect()
+        }
+        _ => Vec::new(),
+    }
+}
+
+/// Guards against the loss of durable work: only idempotent work with a start target may stay in memory.
+#[test]
+fn durability_follows_queue_and_class() {
+    let (config, workers, key) = (config(), workers(), KeyHash::of_secret("secret-of-clinic"));
+    let table = [("clips", false), ("masters", true), ("courses", true), ("archive", true), ("public", false)];
+    for (queue, durable) in table {
+        let verdict = admission::admit(&request(queue, Some(&key)), &view(&config, &workers));
+        match (&verdict, durable) {
+            (Verdict::Urgent(_), false) | (Verdict::Durable(_), true) => {}
+            _ => panic!("{queue}: {verdict:?}"),
+        }
+    }
+}
+
+/// Guards against a refusal with the wrong kind or the wrong places.
+#[test]
+fn each_broken_rule_is_refused_at_its_place() {
+    let (config, workers) = (config(), workers());
+    let (clinic, unknown) = (KeyHash::of_secret("secret-of-clinic"), KeyHash::of_secret("secret-of-nobody"));
+    let long_id = "x".repeat(admission::MAX_REQUEST_ID_BYTES + 1);
+    let long_payload = "x".repeat(job::MAX_STORED_BYTES + 1);
+    let size = |cores, memory_mb, accelerators| Size { cores, memory_mb, accelerators };
+    let base = request("clips", Some(&clinic));
+    let table: Vec<(Request<'_>, bool, &[&str])> = vec![
+        (Request { queue: "no such", ..base }, false, &["queue"]),
+        (Request { queue: "absent", ..base }, false, &["queue"]),
+        (Request { queue: "absent", key: Some(&unknown), ..base }, true, &["authorization", "queue"]),
+        (Request { key: None, ..base }, true, &["authorization"]),
+        (Request { key: Some(&unknown), ..base }, true, &["authorization"]),
+        (Request { team: Some("studio"), ..base }, true, &["team"]),
+        (Request { team: Some("a b"), ..base }, false, &["team"]),
+        (Request { request_id: "", ..base }, false, &["request_id"]),
+        (Request { request_id: &long_id, ..base }, false, &["request_id"]),
+        (Request { payload: &long_payload, ..base }, false, &["payload"]),
+        (Request { deadline: Some(NOW), ..base }, false, &["deadline_ms"]),
+        (Request { size: size(65, 0, 0), ..base }, false, &["size.cores"]),
+        (Request { size: size(64, 128_001, 0), ..base }, false, &["size.memory_mb"]),
+        (Request { size: size(1, 1, 1), ..base }, false, &["size.accelerators"]),
+        (
+            Request { key: None, team: Some("?"), request_id: "", size: size(99, 999_999, 9), ..base },
+            true,
+            &["authorization", "team", "request_id", "size.cores", "size.memory_mb", "size.accelerators"],
+        ),
+    ];
+    for (request, denied, expected) in table {
+        let Verdict::Refuse(refusal) = admission::admit(&request, &view(&config, &workers)) else {
+            panic!("{request:?} was accepted")
+        };
+        assert_eq!(matches!(refusal, Refusal::NotAllowed { .. }), denied, "{refusal:?}");
+        assert_eq!(places(&refusal), expected, "{refusal:?}");
+    }
+}
+
+/// Guards against work that is accepted in a state of the entry that forbids it.
+#[test]
+fn state_of_the_entry_refuses() {
+    let (config, workers, key) = (config(), workers(), KeyHash::of_secret("secret-of-clinic"));
+    let base = view(&config, &workers);
+    let ms = Millis;
+    let table = [
+        ("clips", View { stopping: true, ..base }, Some(Refusal::Stopping)),
+        ("public", View { stopping: true, ..base }, Some(Refusal::Stopping)),
+        ("clips", View { fresh: false, ..base }, Some(Refusal::Stale)),
+        ("absent", View { fresh: false, ..base }, Some(Refusal::Stale)),
+        ("public", View { fresh: false, ..base }, None),
+        ("clips", View { store_reachable: false, ..base }, None),
+        ("masters", View { store_reachable: false, ..base }, Some(Refusal::StoreUnavailable)),
+        ("archive", View { store_reachable: false, ..base }, Some(Refusal::StoreUnavailable)),
+        ("clips", View { expected_wait: ms(1100), ..base }, None),
+        ("clips", View { expected_wait: ms(1101), ..base }, Some(Refusal::Overloaded { retry_after: ms(100) })),
+        ("masters", View { expected_wait: ms(5000), ..base }, Some(Refusal::Overloaded { retry_after: ms(3900) })),
+        ("courses", View { expected_wait: ms(DAY_MS * 9), ..base }, None),
+        ("archive", View { expected_wait: ms(DAY_MS * 9), ..base }, None),
+        (
+            "archive",
+            View { expected_wait: ms(DAY_MS), room: Room::PoolFull, ..base },
+            Some(Refusal::Overloaded { retry_after: admission::MAX_RETRY_AFTER }),
+        ),
+        (
+            "archive",
+            View { expected_wait: ms(900), room: Room::TeamFull, ..base },
+            Some(Refusal::TeamLimit { retry_after: ms(900) }),
+        ),
+    ];
+    for (queue, view, expected) in table {
+        let verdict = admission::admit(&request(queue, Some(&key)), &view);
+        match (verdict, expected) {
+            (Verdict::Refuse(refusal), Some(expected)) => assert_eq!(refusal, expected, "{queue}"),
+            (Verdict::Urgent(_) | Verdict::Durable(_), None) => {}
+            (verdict, expected) => panic!("{queue}: {verdict:?} instead of {expected:?}"),
+        }
+    }
+}
+
+/// Guards against a stale entry that calls a key unknown although it was given a moment ago.
+#[test]
+fn stale_entry_makes_no_statement_about_keys() {
+    let (config, workers, key) = (config(), workers(), KeyHash::of_secret("secret-of-nobody"));
+    let view = View { fresh: false, ..view(&config, &workers) };
+    assert_eq!(admission::admit(&request("clips", Some(&key)), &view), Verdict::Refuse(Refusal::Stale));
+}
+
+/// Guards against a job without the data that later steps rely on.
+#[test]
+fn spec_carries_team_class_and_payload() {
+    let (config, workers, key) = (config(), workers(), KeyHash::of_secret("secret-of-clinic"));
+    let view = view(&config, &workers);
+    let payload = "x".repeat(job::MAX_INLINE_BYTES + 1);
+    let named = Request { team: Some("clinic"), payload: &payload, ..request("masters", Some(&key)) };
+    let Verdict::Durable(spec) = admission::admit(&named, &view) else { panic!() };
+    assert_eq!(spec.team.as_ref().unwrap().as_str(), "clinic");
+    assert_eq!((spec.class.as_str(), spec.pool.as_str(), spec.idempotent), ("urgent", "render", false));
+    assert_eq!(spec.payload, Content::Stored { bytes: payload.len() as u64 });
+    assert_eq!(spec.id, job::derive_job_id(spec.team.as_ref(), &spec.queue, "r1"));
+
+    let open = Request { team: Some("clinic"), ..request("public", Some(&key)) };
+    let Verdict::Urgent(spec) = admission::admit(&open, &view) else { panic!() };
+    assert_eq!(spec.team, None, "work on a queue open to all counts against no team");
+    assert_eq!(spec.payload, Content::Inline { text: "{}".into() });
+}
+
+/// Guards against a wrong deadline: the earlier one of class and caller holds, and `by` means the next occurrence.
+#[test]
+fn deadline_is_the_earlier_of_class_and_caller() {
+    let (config, workers, key) = (config(), workers(), KeyHash::of_secret("secret-of-clinic"));
+    let midnight = NOW.0 - NOW.0 % DAY_MS;
+    let six = WallTime(midnight + 6 * 3_600_000);
+    let table = [
+        ("clips", NOW, None, Some(NOW + Millis(1100))),
+        ("clips", NOW, Some(NOW + Millis(500)), Some(NOW + Millis(500))),
+        ("clips", NOW, Some(NOW + Millis(5000)), Some(NOW + Millis(1100))),
+        ("courses", NOW, None, Some(six)),
+        ("courses", WallTime(six.0 - 1), None, Some(six)),
+        ("courses", six, None, Some(WallTime(six.0 + DAY_MS))),
+        ("courses", NOW, Some(NOW + Millis(1)), Some(NOW + Millis(1))),
+        ("archive", NOW, None, None),
+        ("archive", NOW, Some(six), Some(six)),
+    ];
+    for (queue, now, deadline, expected) in table {
+        let view = View { now, ..view(&config, &workers) };
+        let request = Request { deadline, ..request(queue, Some(&key)) };
+        let (Verdict::Urgent(spec) | Verdict::Durable(spec)) = admission::admit(&request, &view) else { panic!() };
+        assert_eq!(spec.deadline, expected, "{queue} at {now:?} with {deadline:?}");
+    }
+}
+
+/// Guards against run times that are subtracted from a deadline for the start.
+#[test]
+fn latest_start_depends_on_the_target() {
+    let (wall, mono) = (WallTime(1_000_000), MonoTime(500));
+    let at = WallTime(1_002_000);
+    let within = Deadline::of_job(Target::Within { ms: Millis(1) }, at, wall, mono);
+    let by = Deadline::of_job(Target::By { minute_of_day: 0 }, at, wall, mono);
+    assert_eq!(within.latest_start(Millis(1500)), MonoTime(2500));
+    assert_eq!(by.latest_start(Millis(1500)), MonoTime(1000));
+    assert_eq!(deadline::convert_to_mono(WallTime(999_900), wall, mono), MonoTime(400));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1000, rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..ProptestConfig::default()
+    })]
+
+    /// Guards against work that is accepted although its deadline has passed or can't be met.
+    #[test]
+    fn accepted_jobs_can_meet_their_deadline(
+        queue in prop::sample::select(vec!["clips", "masters", "courses", "archive", "public"]),
+        wait in prop_oneof![Just(0_u64), 0_u64..5000],
+        offset in prop::option::of(-3000_i64..6000),
+    ) {
+        let (config, workers, key) = (config(), workers(), KeyHash::of_secret("secret-of-clinic"));
+        let view = View { expected_wait: Millis(wait), ..view(&config, &workers) };
+        let deadline = offset.map(|offset| WallTime(NOW.0.saturating_add_signed(offset)));
+        let request = Request { deadline, ..request(queue, Some(&key)) };
+        if let Verdict::Urgent(spec) | Verdict::Durable(spec) = admission::admit(&request, &view) {
+            prop_assert!(spec.deadline.is_none_or(|d| d > NOW), "accepted after its deadline {:?}", spec.deadline);
+            let is_bound = spec.class.as_str() == "urgent" || deadline.is_some();
+            prop_assert!(
+                !is_bound || spec.deadline.is_none_or(|d| NOW + Millis(wait) <= d),
+                "accepted with a wait of {wait} ms for {:?} ms", spec.deadline.map(|d| d.since(NOW).0)
+            );
+        }
+    }
+}
