Add the ready queue with shares, a patient floor and bounds

Cause: an entry has to choose which waiting job of a pool starts next, within limits, shares and targets. Change: `queue::ReadyQueue` starts urgent work before patient work, but at least one start in 8 is patient while both can start, and one in 2 while a patient job is older than 10 min. Within a kind the team furthest below its entitlement goes first while the pool is full; within a team the job with the least slack. Teams at their limit are passed over. `waiting` and `shares` are new modules that keep the files short.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,7 +25,9 @@
 pub mod quota;
 pub mod retry;
 pub mod routing;
+pub mod shares;
 pub mod units;
+mod waiting;
 
 pub use finding::{Finding, Findings};
 pub use map::{Map, Set};
