Add the choice of endpoints

Cause: an entry needs an endpoint with a free slot, never one in graceful shutdown, and entries with the same old view must not all choose the same one. Change: `routing::Endpoints` reuses idle slot leases, then takes the better of two random endpoints with free slots, and prefers the own data centre if free slots are similar. Conclusion: no order of reports in the property test gives new work to an endpoint that is out of use.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! generators and the bytes that came from the platform's store.
 
 pub mod admission;
+pub mod breaker;
 pub mod burn;
 pub mod commit;
 pub mod config;
--- /dev/null
+++ b/crates/core/tests/routing.rs
@@ -0,0 +1,327 @@
+//! Choice of endpoints: drains, leases, bounds, breakers, preference and spread.
+
+use std::collections::BTreeMap;
+
+use carawaybarrow_core::breaker;
+use carawaybarrow_core::ids::{DataCentreId, Incarnation, LeaseId, PoolId, VmId};
+use carawaybarrow_core::routing::{self, Endpoints, Listed, State, Status};
+use carawaybarrow_core::units::{Millis, MonoTime};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+fn vm(i: usize) -> VmId {
+    VmId::new(format!("vm-{i}")).unwrap()
+}
+
+fn pool() -> PoolId {
+    PoolId::new("render").unwrap()
+}
+
+fn lease(name: &str) -> LeaseId {
+    LeaseId::new(name).unwrap()
+}
+
+fn status(asked_at: u64, incarnation: u64, free: u32, draining: bool) -> Status {
+    Status { asked_at: MonoTime(asked_at), incarnation: Incarnation(incarnation), slots: 64, free, draining }
+}
+
+fn listed(i: usize, pool: PoolId, data_centre: &str) -> Listed {
+    Listed { vm: vm(i), pool, address: "127.0.0.1:1".into(), data_centre: DataCentreId::new(data_centre).unwrap() }
+}
+
+/// Endpoints of one pool with these free slots, each in its data centre.
+fn endpoints(parts: &[(u32, &str)]) -> Endpoints {
+    let mut endpoints = Endpoints::new(DataCentreId::new("dc1").unwrap());
+    for (i, (free, data_centre)) in parts.iter().enumerate() {
+        endpoints.list(listed(i, pool(), data_centre));
+        endpoints.take_status(&vm(i), &status(0, 1, *free, false));
+    }
+    endpoints
+}
+
+fn choose(endpoints: &mut Endpoints, now: u64, rng: &mut StdRng) -> Option<VmId> {
+    endpoints.choose(&pool(), &[], MonoTime(now), rng).map(|choice| choice.vm)
+}
+
+/// Guards against work for an endpoint in graceful shutdown, whichever source reports it first.
+#[test]
+fn any_source_ends_the_use_of_an_endpoint() {
+    let mut rng = StdRng::seed_from_u64(10);
+    let signals: [fn(&mut Endpoints) -> Vec<LeaseId>; 4] = [
+        |e| e.mark(&vm(0), State::Draining, MonoTime(5)),
+        |e| e.mark(&vm(0), State::Leaving, MonoTime(5)),
+        |e| e.mark(&vm(0), State::Failed, MonoTime(5)),
+        |e| e.take_status(&vm(0), &status(5, 1, 8, true)),
+    ];
+    for signal in signals {
+        let mut endpoints = endpoints(&[(8, "dc1")]);
+        endpoints.put_idle_lease(&vm(0), lease("l1"), MonoTime(9000));
+        assert_eq!(signal(&mut endpoints), [lease("l1")], "idle leases are given back");
+        assert_eq!(choose(&mut endpoints, 10, &mut rng), None);
+        endpoints.list(listed(0, pool(), "dc1"));
+        endpoints.take_status(&vm(0), &status(20, 1, 8, false));
+        assert_eq!(choose(&mut endpoints, 20, &mut rng), None, "the same incarnation doesn't end a drain");
+        assert_eq!(endpoints.put_idle_lease(&vm(0), lease("l2"), MonoTime(9000)), Some(lease("l2")));
+        endpoints.take_status(&vm(0), &status(30, 2, 8, false));
+        assert_eq!(choose(&mut endpoints, 30, &mut rng), Some(vm(0)));
+    }
+}
+
+/// Guards against an old answer that marks a returned endpoint as draining again, or ends a later drain.
+#[test]
+fn old_answers_change_nothing() {
+    let mut rng = StdRng::seed_from_u64(11);
+    let mut endpoints = endpoints(&[(8, "dc1")]);
+    endpoints.mark(&vm(0), State::Draining, MonoTime(5));
+    endpoints.return_to_service(&vm(0), Incarnation(0), MonoTime(100));
+    assert_eq!(endpoints.state(&vm(0)), Some(State::Draining), "an earlier incarnation can't return");
+    endpoints.return_to_service(&vm(0), Incarnation(1), MonoTime(100));
+    endpoints.take_status(&vm(0), &status(99, 1, 8, true));
+    assert_eq!(choose(&mut endpoints, 100, &mut rng), Some(vm(0)));
+    endpoints.take_status(&vm(0), &status(200, 3, 8, true));
+    endpoints.take_status(&vm(0), &status(201, 2, 8, false));
+    assert_eq!(endpoints.state(&vm(0)), Some(State::Draining));
+}
+
+/// Guards against a drain that the first status of an endpoint ends, because it shows an incarnation not seen before.
+#[test]
+fn first_status_does_not_end_a_drain() {
+    let mut endpoints = Endpoints::new(DataCentreId::new("dc1").unwrap());
+    endpoints.list(listed(0, pool(), "dc1"));
+    endpoints.mark(&vm(0), State::Leaving, MonoTime(5));
+    endpoints.take_status(&vm(0), &status(0, 1, 8, false));
+    assert_eq!(endpoints.state(&vm(0)), Some(State::Leaving));
+}
+
+/// Guards against a drain that is forgotten because the endpoint wasn't listed when it was reported, or was missing
+/// from a list for a moment; and against memory of endpoints that are gone for good.
+#[test]
+fn unlisted_endpoints_keep_their_state_for_a_while() {
+    let mut endpoints = Endpoints::new(DataCentreId::new("dc1").unwrap());
+    endpoints.mark(&vm(0), State::Leaving, MonoTime(0));
+    endpoints.list(listed(0, pool(), "dc1"));
+    assert_eq!(endpoints.state(&vm(0)), Some(State::Leaving));
+    endpoints.remove(&vm(0), MonoTime(0));
+    endpoints.list(listed(0, pool(), "dc1"));
+    assert_eq!(endpoints.state(&vm(0)), Some(State::Leaving));
+    endpoints.remove(&vm(0), MonoTime(0));
+    endpoints.expire(MonoTime(0) + routing::ABSENT_KEPT + Millis(1));
+    endpoints.list(listed(0, pool(), "dc1"));
+    assert_eq!(endpoints.state(&vm(0)), Some(State::Serving));
+}
+
+/// Guards against further jobs for a worker that has just refused one for lack of slots.
+#[test]
+fn full_worker_gets_no_job_before_its_next_status() {
+    let mut rng = StdRng::seed_from_u64(17);
+    let mut endpoints = endpoints(&[(8, "dc1")]);
+    endpoints.mark_full(&vm(0));
+    assert_eq!(choose(&mut endpoints, 0, &mut rng), None);
+    endpoints.add_free_slot(&vm(0));
+    assert_eq!(choose(&mut endpoints, 0, &mut rng), Some(vm(0)));
+    assert_eq!(choose(&mut endpoints, 0, &mut rng), None);
+    endpoints.take_status(&vm(0), &status(10, 1, 1, false));
+    assert_eq!(choose(&mut endpoints, 10, &mut rng), Some(vm(0)));
+}
+
+/// Guards against a lease request where an idle lease would do, and against the use of one that is about to lapse.
+#[test]
+fn idle_leases_are_reused_while_they_last() {
+    let mut rng = StdRng::seed_from_u64(12);
+    let mut endpoints = endpoints(&[(8, "dc1"), (64, "dc1"), (64, "dc1")]);
+    let margin = routing::LEASE_MARGIN.0;
+    endpoints.put_idle_lease(&vm(0), lease("short"), MonoTime(1000 + margin));
+    endpoints.put_idle_lease(&vm(0), lease("long"), MonoTime(3000));
+    let choice = endpoints.choose(&pool(), &[], MonoTime(1000), &mut rng).unwrap();
+    assert_eq!((choice.vm, choice.lease), (vm(0), Some(lease("long"))));
+    assert_eq!(endpoints.choose(&pool(), &[], MonoTime(1000), &mut rng).unwrap().lease, None);
+    endpoints.put_idle_lease(&vm(0), lease("next"), MonoTime(3000));
+    endpoints.expire(MonoTime(3000));
+    assert_eq!(endpoints.choose(&pool(), &[], MonoTime(2000), &mut rng).unwrap().lease, None);
+    endpoints.put_idle_lease(&vm(0), lease("old"), MonoTime(9000));
+    assert_eq!(endpoints.take_status(&vm(0), &status(50, 2, 8, false)), [lease("old")]);
+}
+
+/// Guards against more connections to an endpoint than it has, and against use of quarantined or full endpoints.
+#[test]
+fn bounds_and_flags_exclude_endpoints() {
+    let mut rng = StdRng::seed_from_u64(13);
+    let mut endpoints = endpoints(&[(64, "dc1"), (0, "dc1")]);
+    endpoints.set_quarantined(&vm(0), true);
+    assert_eq!(choose(&mut endpoints, 0, &mut rng), None);
+    endpoints.set_quarantined(&vm(0), false);
+    assert_eq!(endpoints.count_slots(&pool(), MonoTime(0)), (128, 64));
+    for i in 0..routing::MAX_CONNECTIONS {
+        // Idle leases show that the bound doesn't come from the number of free slots.
+        endpoints.put_idle_lease(&vm(0), lease(&format!("l{i}")), MonoTime(9000));
+        assert_eq!(choose(&mut endpoints, 0, &mut rng), Some(vm(0)));
+    }
+    endpoints.put_idle_lease(&vm(0), lease("more"), MonoTime(9000));
+    assert_eq!(choose(&mut endpoints, 0, &mut rng), None);
+    endpoints.release(&vm(0));
+    assert_eq!(choose(&mut endpoints, 0, &mut rng), Some(vm(0)));
+}
+
+/// Guards against a moved endpoint that still gets work of its former pool.
+#[test]
+fn moved_endpoint_serves_only_its_new_pool() {
+    let mut rng = StdRng::seed_from_u64(14);
+    let mut endpoints = endpoints(&[(8, "dc1")]);
+    let other = PoolId::new("transcode").unwrap();
+    endpoints.put_idle_lease(&vm(0), lease("l1"), MonoTime(9000));
+    assert_eq!(endpoints.list(listed(0, other.clone(), "dc1")), [lease("l1")]);
+    assert_eq!(choose(&mut endpoints, 0, &mut rng), None);
+    assert!(endpoints.choose(&other, &[], MonoTime(0), &mut rng).is_some());
+    endpoints.remove(&vm(0), MonoTime(0));
+    assert!(endpoints.choose(&other, &[], MonoTime(0), &mut rng).is_none());
+}
+
+/// Guards against a stream of connections to an endpoint that can't be reached, and against one that is never tried
+/// again.
+#[test]
+fn breaker_lets_one_probe_through_after_a_pause() {
+    let mut rng = StdRng::seed_from_u64(15);
+    let mut endpoints = endpoints(&[(64, "dc1")]);
+    for _ in 0..breaker::MAX_FAILURES {
+        assert_eq!(choose(&mut endpoints, 0, &mut rng), Some(vm(0)));
+        endpoints.release_failed(&vm(0), MonoTime(0), &mut rng);
+    }
+    assert_eq!(choose(&mut endpoints, breaker::FIRST_PAUSE.0 / 2 - 1, &mut rng), None);
+    let probe_at = breaker::FIRST_PAUSE.0;
+    assert_eq!(choose(&mut endpoints, probe_at, &mut rng), Some(vm(0)));
+    assert_eq!(choose(&mut endpoints, probe_at, &mut rng), None, "one probe at a time");
+    endpoints.release_failed(&vm(0), MonoTime(probe_at), &mut rng);
+    assert_eq!(choose(&mut endpoints, probe_at + breaker::FIRST_PAUSE.0 - 1, &mut rng), None, "the pause doubles");
+    let again = probe_at + 2 * breaker::FIRST_PAUSE.0;
+    assert_eq!(choose(&mut endpoints, again, &mut rng), Some(vm(0)));
+    endpoints.release(&vm(0));
+    assert_eq!(choose(&mut endpoints, again, &mut rng), Some(vm(0)));
+    assert_eq!(choose(&mut endpoints, again, &mut rng), Some(vm(0)));
+}
+
+/// Guards against a data centre that is preferred at the price of load, and against one that isn't preferred at all.
+#[test]
+fn own_data_centre_is_preferred_only_if_slots_are_similar() {
+    let table = [(8, 8, 0), (8, 9, 0), (40, 48, 0), (8, 11, 1), (40, 64, 1), (9, 8, 0)];
+    for (near, far, expected) in table {
+        for seed in 0..50 {
+            let mut rng = StdRng::seed_from_u64(seed);
+            let mut endpoints = endpoints(&[(near, "dc1"), (far, "dc2")]);
+            assert_eq!(choose(&mut endpoints, 0, &mut rng), Some(vm(expected)), "{near} near, {far} far");
+        }
+    }
+}
+
+/// Guards against entries that all send their work to the endpoint that looks best in the same old view.
+#[test]
+fn entries_with_the_same_old_view_spread() {
+    let parts: Vec<_> = (0..50).map(|i| (if i == 0 { 64 } else { 20 + i % 3 }, "dc1")).collect();
+    let mut load = BTreeMap::<VmId, u32>::new();
+    for entry in 0..9 {
+        let mut rng = StdRng::seed_from_u64(entry);
+        let mut endpoints = endpoints(&parts);
+        for _ in 0..50 {
+            *load.entry(choose(&mut endpoints, 0, &mut rng).unwrap()).or_default() += 1;
+        }
+    }
+    // The mean is 9; without spread the endpoint with 64 slots would get most of the 450 jobs.
+    assert!(load.len() >= 45, "{load:?}");
+    assert!(load.values().all(|jobs| *jobs <= 30), "{load:?}");
+}
+
+/// A report about an endpoint.
+#[derive(Clone, Debug)]
+enum Report {
+    Status { vm: usize, incarnation: u64, draining: bool },
+    Mark { vm: usize, state: State },
+    Return { vm: usize },
+    Lease { vm: usize },
+    List { vm: usize },
+    Remove { vm: usize },
+    Choose,
+}
+
+const VMS: usize = 5;
+
+fn arb_report() -> impl Strategy<Value = Report> {
+    let state = prop::sample::select(vec![State::Draining, State::Leaving, State::Failed]);
+    prop_oneof![
+        3 => (0..VMS, 1_u64..6, any::<bool>())
+            .prop_map(|(vm, incarnation, draining)| Report::Status { vm, incarnation, draining }),
+        2 => (0..VMS, state).prop_map(|(vm, state)| Report::Mark { vm, state }),
+        1 => (0..VMS).prop_map(|vm| Report::Return { vm }),
+        1 => (0..VMS).prop_map(|vm| Report::Lease { vm }),
+        2 => (0..VMS).prop_map(|vm| Report::List { vm }),
+        1 => (0..VMS).prop_map(|vm| Report::Remove { vm }),
+        4 => Just(Report::Choose),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500, rng_seed: RngSeed::Fixed(16), failure_persistence: None, ..ProptestConfig::default()
+    })]
+
+    /// Guards against any order of reports that lets a draining endpoint get new work before it is back.
+    #[test]
+    fn draining_endpoints_are_never_chosen(
+        reports in prop::collection::vec(arb_report(), 1..120),
+        seed in any::<u64>(),
+    ) {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut endpoints = endpoints(&[(64, "dc1"); VMS]);
+        // Last incarnation seen, and whether the endpoint is out of use.
+        let mut known = [(1_u64, false); VMS];
+        let mut is_listed = [true; VMS];
+        for (i, report) in reports.into_iter().enumerate() {
+            let now = 1 + i as u64;
+            match report {
+                Report::Status { vm: i, incarnation, draining } => {
+                    endpoints.take_status(&vm(i), &status(now, incarnation, 64, draining));
+                    if !is_listed[i] {
+                        // A worker that isn't listed is not asked.
+                    } else if incarnation > known[i].0 {
+                        known[i] = (incarnation, draining);
+                    } else if incarnation == known[i].0 {
+                        known[i].1 |= draining;
+                    }
+                }
+                Report::Mark { vm: i, state } => {
+                    endpoints.mark(&vm(i), state, MonoTime(now));
+                    known[i].1 = true;
+                }
+                Report::Return { vm: i } => {
+                    endpoints.return_to_service(&vm(i), Incarnation(known[i].0), MonoTime(now));
+                    known[i].1 = false;
+                }
+                Report::Lease { vm: i } => {
+                    endpoints.put_idle_lease(&vm(i), lease("l1"), MonoTime(now) + Millis(5000));
+                }
+                Report::List { vm: i } => {
+                    endpoints.list(listed(i, pool(), "dc1"));
+                    // The worker's slots are known from its next status on.
+                    if !is_listed[i] {
+                        endpoints.take_status(&vm(i), &status(now, known[i].0, 64, known[i].1));
+                    }
+                    is_listed[i] = true;
+                }
+                Report::Remove { vm: i } => {
+                    endpoints.remove(&vm(i), MonoTime(now));
+                    is_listed[i] = false;
+                }
+                Report::Choose => {
+                    let choice = endpoints.choose(&pool(), &[], MonoTime(now), &mut rng);
+                    let can_serve = (0..VMS).any(|i| is_listed[i] && !known[i].1);
+                    prop_assert_eq!(choice.is_some(), can_serve);
+                    if let Some(choice) = choice {
+                        let chosen = (0..VMS).find(|i| vm(*i) == choice.vm).unwrap();
+                        prop_assert!(is_listed[chosen] && !known[chosen].1, "{} was chosen while out of use", choice.vm);
+                        endpoints.release(&choice.vm);
+                    }
+                }
+            }
+        }
+    }
+}
