--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,9 +4,11 @@
 //! generators and the bytes that came from the platform's store.
 
 pub mod admission;
+pub mod breaker;
 pub mod burn;
 pub mod commit;
 pub mod config;
+pub mod deadline;
 pub mod estimate;
 pub mod finding;
 pub mod fleet;
@@ -27,7 +29,9 @@
 pub mod quota;
 pub mod retry;
 pub mod routing;
+pub mod shares;
 pub mod units;
+mod waiting;
 
 pub use finding::{Finding, Findings};
 pub use map::{Map, Set};
