--- /dev/null
+++ b/crates/testbed/src/lib.rs
@@ -0,0 +1,10 @@
+//! Stand-ins for the platform, a caller and a load generator.
+//!
+//! Each stand-in runs as a process of its own or inside a test, on any free port of the loopback interface.
+
+pub mod answer;
+pub mod client;
+pub mod http;
+pub mod store;
+pub mod vms;
+pub mod worker;
