--- a/crates/testbed/src/http.rs
+++ b/crates/testbed/src/http.rs
@@ -96,7 +96,11 @@
         return;
     }
     let seat = std::sync::OnceLock::new();
-    let respond = |req: http::Request| async {
+    let respond = |mut req: http::Request| async {
+        // async-h1 loses bytes of the next request if an answer is sent before the body has arrived: its buffer
+        // for the rest of the body takes in what follows, and is then dropped. So the body is read first.
+        let body = req.take_body().into_bytes().await?;
+        req.set_body(body);
         if let Some(bound) = &bound
             && !req.url().path().starts_with(CONTROL)
             && seat.get().is_none()
