Add the commands call and check-starts

Cause: demo scripts need a caller that checks answers, and a check of how often each job was started. Change: call submits jobs to entries, repeats a request after a connection failure only under its request id, verifies each answer and follows durable jobs; check-starts counts starts by mark over all workers. Conclusion: usable by scripts; not yet run against a real entry.

--- a/crates/testbed/src/cli/mod.rs
+++ b/crates/testbed/src/cli/mod.rs
@@ -1,11 +1,14 @@
 //! Command line.
 
+mod caller;
 mod servers;
 
+use std::io::Write;
 use std::process::ExitCode;
 
 use clap::{Arg, ArgMatches, Command};
-use snafu::Whatever;
+use serde_json::Value;
+use snafu::{ResultExt, Whatever};
 
 /// Runs the command that the arguments name.
 pub async fn run() -> ExitCode {
@@ -15,6 +18,8 @@
         Some(("vms", args)) => servers::run_vms(args).await,
         Some(("worker", args)) => servers::run_worker(args).await,
         Some(("workers", args)) => servers::run_workers(args).await,
+        Some(("call", args)) => caller::run_call(args).await,
+        Some(("check-starts", args)) => caller::run_check_starts(args).await,
         _ => Ok(ExitCode::FAILURE),
     };
     result.unwrap_or_else(|e: Whatever| {
@@ -29,6 +34,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommands(servers::build_commands())
+        .subcommands(caller::build_commands())
 }
 
 /// An option with a value of the type `T`.
@@ -44,3 +50,14 @@
 fn value<T: Clone + Send + Sync + 'static>(args: &ArgMatches, name: &str) -> T {
     args.get_one::<T>(name).expect("the option is required or has a default").clone()
 }
+
+/// Values of an option that may be absent.
+fn values<T: Clone + Send + Sync + 'static>(args: &ArgMatches, name: &str) -> Vec<T> {
+    args.get_many::<T>(name).into_iter().flatten().cloned().collect()
+}
+
+/// Prints one line for scripts that wait for it.
+fn print_line(line: &Value) -> Result<(), Whatever> {
+    let mut out = std::io::stdout().lock();
+    writeln!(out, "{line}").and_then(|()| out.flush()).whatever_context("stdout is closed")
+}
--- a/crates/testbed/src/cli/servers.rs
+++ b/crates/testbed/src/cli/servers.rs
@@ -1,6 +1,5 @@
 //! Commands that run a stand-in until the process is ended.
 
-use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -11,11 +10,11 @@
 use carawaybarrow_testbed::vms::{self, Vm, VmState};
 use carawaybarrow_testbed::worker::{self, Options, Tally};
 use clap::{ArgMatches, Command};
-use serde_json::{Value, json};
+use serde_json::json;
 use smol_str::{SmolStr, format_smolstr};
 use snafu::{ResultExt, Whatever, whatever};
 
-use super::{option, value};
+use super::{option, print_line, value};
 
 /// VMs in a rack.
 const RACK_VMS: usize = 4;
@@ -58,12 +57,6 @@
         .arg(option::<SocketAddr>("register", "VMS_ADDR", "VM list at which to register"))
 }
 
-/// Prints one line for scripts that wait for it.
-fn print_line(line: &Value) -> Result<(), Whatever> {
-    let mut out = std::io::stdout().lock();
-    writeln!(out, "{line}").and_then(|()| out.flush()).whatever_context("stdout is closed")
-}
-
 async fn run_forever() -> Result<ExitCode, Whatever> {
     std::future::pending().await
 }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod answer;
 pub mod client;
 pub mod http;
+pub mod starts;
 pub mod store;
+pub mod submit;
 pub mod vms;
 pub mod worker;
