Give unused slot leases back and seek slots in full pools

Cause: an idle lease held its slot until the lease lapsed (up to 3 s), and an entry learned of slots that other entries gave back only at the next status. Change: Endpoints::take_unused_leases and assume_free_slot; put_idle_lease takes the time. Result: routing tests pass with one new test, which failed to compile before the change.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -80,6 +80,14 @@
     pub lease: Option<LeaseId>,
 }
 
+/// A slot lease that is kept for reuse.
+#[derive(Debug)]
+struct IdleLease {
+    lease: LeaseId,
+    expires: MonoTime,
+    since: MonoTime,
+}
+
 #[derive(Debug)]
 struct Endpoint {
     listed: Listed,
@@ -91,7 +99,7 @@
     free: u32,
     connections: u32,
     breaker: Breaker,
-    idle: Vec<(MonoTime, LeaseId)>,
+    idle: Vec<IdleLease>,
 }
 
 impl Endpoint {
@@ -119,22 +127,22 @@
     }
 
     fn has_idle_lease(&self, now: MonoTime) -> bool {
-        self.idle.iter().any(|(expires, _)| *expires > now + LEASE_MARGIN)
+        self.idle.iter().any(|idle| idle.expires > now + LEASE_MARGIN)
     }
 
     /// The idle lease with the most time left.
     fn take_idle_lease(&mut self, now: MonoTime) -> Option<LeaseId> {
-        let latest = (0..self.idle.len()).max_by_key(|i| self.idle[*i].0)?;
-        if self.idle[latest].0 <= now + LEASE_MARGIN {
+        let latest = (0..self.idle.len()).max_by_key(|i| self.idle[*i].expires)?;
+        if self.idle[latest].expires <= now + LEASE_MARGIN {
             return None;
         }
-        Some(self.idle.swap_remove(latest).1)
+        Some(self.idle.swap_remove(latest).lease)
     }
 
     /// Ends the use of the endpoint and returns the leases to give back.
     fn stop(&mut self, state: State) -> Vec<LeaseId> {
         self.state = state;
-        self.idle.drain(..).map(|(_, lease)| lease).collect()
+        self.idle.drain(..).map(|idle| idle.lease).collect()
     }
 
     fn serve(&mut self, incarnation: Incarnation, at: MonoTime) {
@@ -185,7 +193,7 @@
         if known.listed == listed {
             return Vec::new();
         }
-        let leases = known.idle.drain(..).map(|(_, lease)| lease).collect();
+        let leases = known.idle.drain(..).map(|idle| idle.lease).collect();
         let old_pool = std::mem::replace(&mut known.listed, listed.clone()).pool;
         if old_pool != listed.pool {
             self.leave_pool(&old_pool, &listed.vm);
@@ -249,7 +257,7 @@
             // A worker loses its leases when it restarts. The first status of all doesn't end a drain that another
             // source has reported.
             let is_first = endpoint.incarnation == Incarnation(0);
-            leases.extend(endpoint.idle.drain(..).map(|(_, lease)| lease));
+            leases.extend(endpoint.idle.drain(..).map(|idle| idle.lease));
             endpoint.incarnation = status.incarnation;
             if !status.draining && !is_first {
                 endpoint.serve(status.incarnation, status.asked_at);
@@ -264,10 +272,16 @@
     }
 
     /// Keeps a slot lease for reuse. Returns it if the endpoint takes no work.
-    pub fn put_idle_lease(&mut self, vm: &VmId, lease: LeaseId, expires: MonoTime) -> Option<LeaseId> {
+    pub fn put_idle_lease(
+        &mut self,
+        vm: &VmId,
+        lease: LeaseId,
+        expires: MonoTime,
+        now: MonoTime,
+    ) -> Option<LeaseId> {
         match self.endpoints.get_mut(vm) {
             Some(endpoint) if endpoint.state == State::Serving => {
-                endpoint.idle.push((expires, lease));
+                endpoint.idle.push(IdleLease { lease, expires, since: now });
                 None
             }
             _ => Some(lease),
@@ -279,7 +293,28 @@
     pub fn expire(&mut self, now: MonoTime) {
         self.absent.retain(|_, absent| now.since(absent.since) <= ABSENT_KEPT);
         for endpoint in self.endpoints.values_mut() {
-            endpoint.idle.retain(|(expires, _)| *expires > now + LEASE_MARGIN);
+            endpoint.idle.retain(|idle| idle.expires > now + LEASE_MARGIN);
+        }
+    }
+
+    /// Takes the leases that were not reused since `before`, to give them back.
+    pub fn take_unused_leases(&mut self, before: MonoTime) -> Vec<LeaseId> {
+        let mut unused = Vec::new();
+        for endpoint in self.endpoints.values_mut() {
+            let given = endpoint.idle.extract_if(.., |idle| idle.since <= before).map(|idle| idle.lease);
+            let count = unused.len();
+            unused.extend(given);
+            endpoint.free = (endpoint.free + (unused.len() - count) as u32).min(endpoint.slots);
+        }
+        unused
+    }
+
+    /// Assumes a free slot at one open endpoint of the pool, because other entries give slots back without notice.
+    pub fn assume_free_slot(&mut self, pool: &PoolId, now: MonoTime, rng: &mut impl Rng) {
+        let vms = self.pools.get(pool).into_iter().flatten();
+        let open: Vec<_> = vms.filter(|vm| self.endpoints.get(*vm).is_some_and(|e| e.is_open(now))).collect();
+        if let Some(vm) = open.choose(rng).map(|vm| (*vm).clone()) {
+            self.add_free_slot(&vm);
         }
     }
 
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -57,13 +57,13 @@
     ];
     for signal in signals {
         let mut endpoints = endpoints(&[(8, "dc1")]);
-        endpoints.put_idle_lease(&vm(0), lease("l1"), MonoTime(9000));
+        endpoints.put_idle_lease(&vm(0), lease("l1"), MonoTime(9000), MonoTime(0));
         assert_eq!(signal(&mut endpoints), [lease("l1")], "idle leases are given back");
         assert_eq!(choose(&mut endpoints, 10, &mut rng), None);
         endpoints.list(listed(0, pool(), "dc1"));
         endpoints.take_status(&vm(0), &status(20, 1, 8, false));
         assert_eq!(choose(&mut endpoints, 20, &mut rng), None, "the same incarnation doesn't end a drain");
-        assert_eq!(endpoints.put_idle_lease(&vm(0), lease("l2"), MonoTime(9000)), Some(lease("l2")));
+        assert_eq!(endpoints.put_idle_lease(&vm(0), lease("l2"), MonoTime(9000), MonoTime(0)), Some(lease("l2")));
         endpoints.take_status(&vm(0), &status(30, 2, 8, false));
         assert_eq!(choose(&mut endpoints, 30, &mut rng), Some(vm(0)));
     }
@@ -132,15 +132,15 @@
     let mut rng = StdRng::seed_from_u64(12);
     let mut endpoints = endpoints(&[(8, "dc1"), (64, "dc1"), (64, "dc1")]);
     let margin = routing::LEASE_MARGIN.0;
-    endpoints.put_idle_lease(&vm(0), lease("short"), MonoTime(1000 + margin));
-    endpoints.put_idle_lease(&vm(0), lease("long"), MonoTime(3000));
+    endpoints.put_idle_lease(&vm(0), lease("short"), MonoTime(1000 + margin), MonoTime(0));
+    endpoints.put_idle_lease(&vm(0), lease("long"), MonoTime(3000), MonoTime(0));
     let choice = endpoints.choose(&pool(), &[], MonoTime(1000), &mut rng).unwrap();
     assert_eq!((choice.vm, choice.lease), (vm(0), Some(lease("long"))));
     assert_eq!(endpoints.choose(&pool(), &[], MonoTime(1000), &mut rng).unwrap().lease, None);
-    endpoints.put_idle_lease(&vm(0), lease("next"), MonoTime(3000));
+    endpoints.put_idle_lease(&vm(0), lease("next"), MonoTime(3000), MonoTime(0));
     endpoints.expire(MonoTime(3000));
     assert_eq!(endpoints.choose(&pool(), &[], MonoTime(2000), &mut rng).unwrap().lease, None);
-    endpoints.put_idle_lease(&vm(0), lease("old"), MonoTime(9000));
+    endpoints.put_idle_lease(&vm(0), lease("old"), MonoTime(9000), MonoTime(0));
     assert_eq!(endpoints.take_status(&vm(0), &status(50, 2, 8, false)), [lease("old")]);
 }
 
@@ -155,10 +155,10 @@
     assert_eq!(endpoints.count_slots(&pool(), MonoTime(0)), (128, 64));
     for i in 0..routing::MAX_CONNECTIONS {
         // Idle leases show that the bound doesn't come from the number of free slots.
-        endpoints.put_idle_lease(&vm(0), lease(&format!("l{i}")), MonoTime(9000));
+        endpoints.put_idle_lease(&vm(0), lease(&format!("l{i}")), MonoTime(9000), MonoTime(0));
         assert_eq!(choose(&mut endpoints, 0, &mut rng), Some(vm(0)));
     }
-    endpoints.put_idle_lease(&vm(0), lease("more"), MonoTime(9000));
+    endpoints.put_idle_lease(&vm(0), lease("more"), MonoTime(9000), MonoTime(0));
     assert_eq!(choose(&mut endpoints, 0, &mut rng), None);
     endpoints.release(&vm(0));
     assert_eq!(choose(&mut endpoints, 0, &mut rng), Some(vm(0)));
@@ -170,7 +170,7 @@
     let mut rng = StdRng::seed_from_u64(14);
     let mut endpoints = endpoints(&[(8, "dc1")]);
     let other = PoolId::new("transcode").unwrap();
-    endpoints.put_idle_lease(&vm(0), lease("l1"), MonoTime(9000));
+    endpoints.put_idle_lease(&vm(0), lease("l1"), MonoTime(9000), MonoTime(0));
     assert_eq!(endpoints.list(listed(0, other.clone(), "dc1")), [lease("l1")]);
     assert_eq!(choose(&mut endpoints, 0, &mut rng), None);
     assert!(endpoints.choose(&other, &[], MonoTime(0), &mut rng).is_some());
@@ -297,7 +297,7 @@
                     known[i].1 = false;
                 }
                 Report::Lease { vm: i } => {
-                    endpoints.put_idle_lease(&vm(i), lease("l1"), MonoTime(now) + Millis(5000));
+                    endpoints.put_idle_lease(&vm(i), lease("l1"), MonoTime(now) + Millis(5000), MonoTime(0));
                 }
                 Report::List { vm: i } => {
                     endpoints.list(listed(i, pool(), "dc1"));
@@ -325,3 +325,13 @@
         }
     }
 }
+
+/// Guards against slots that stay leased to an entry without work while other entries wait for them.
+#[test]
+fn unused_leases_are_given_back() {
+    let mut endpoints = endpoints(&[(8, "dc1")]);
+    endpoints.put_idle_lease(&vm(0), lease("old"), MonoTime(9000), MonoTime(100));
+    endpoints.put_idle_lease(&vm(0), lease("new"), MonoTime(9000), MonoTime(300));
+    assert_eq!(endpoints.take_unused_leases(MonoTime(200)), [lease("old")]);
+    assert_eq!(endpoints.take_unused_leases(MonoTime(200)), []);
+}
