Add an open-loop load generator

Change: load sends jobs at the Poisson arrivals of a seeded plan in which the queues spike one after the other, to entries or directly to workers, and reports counts and HDR histograms from the scheduled arrival.

--- a/crates/testbed/src/cli/caller.rs
+++ b/crates/testbed/src/cli/caller.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use carawaybarrow_testbed::starts::{self, Marks};
-use carawaybarrow_testbed::submit::{self, Caller, Job, Outcome, Summary};
+use carawaybarrow_testbed::submit::{self, Caller, Job, Summary};
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use futures::StreamExt;
 use serde_json::{Value, json};
@@ -64,16 +64,6 @@
     (0..value::<u64>(args, "count")).map(build).collect()
 }
 
-fn reason_of(outcome: &Outcome) -> Option<String> {
-    match outcome {
-        Outcome::NotRun { status, reason } => Some(format!("not run: {status}: {reason}")),
-        Outcome::Failed { reason } => Some(format!("failed: {reason}")),
-        Outcome::Unknown { reason } => Some(format!("unknown: {reason}")),
-        Outcome::Pending { state } => Some(format!("pending: {state}")),
-        Outcome::Served | Outcome::Cancelled | Outcome::WrongAnswer => None,
-    }
-}
-
 /// Submits the jobs. The exit code is 1 if an answer was cut or belonged to another job.
 pub async fn run_call(args: &ArgMatches) -> Result<ExitCode, Whatever> {
     let caller = Caller::new(&values(args, "entry"))
@@ -89,7 +79,7 @@
     let mut ended = futures::stream::iter(calls).buffer_unordered(value::<usize>(args, "concurrency").max(1));
     while let Some((outcome, job)) = ended.next().await {
         summary.add(&outcome);
-        if let Some(reason) = reason_of(&outcome)
+        if let Some(reason) = outcome.reason()
             && (reasons.len() < SHOWN_REASONS || reasons.contains_key(&reason))
         {
             *reasons.entry(reason).or_default() += 1;
--- a/crates/testbed/src/cli/mod.rs
+++ b/crates/testbed/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! Command line.
 
 mod caller;
+mod load;
 mod servers;
 
 use std::io::Write;
@@ -20,6 +21,7 @@
         Some(("workers", args)) => servers::run_workers(args).await,
         Some(("call", args)) => caller::run_call(args).await,
         Some(("check-starts", args)) => caller::run_check_starts(args).await,
+        Some(("load", args)) => load::run_load(args).await,
         _ => Ok(ExitCode::FAILURE),
     };
     result.unwrap_or_else(|e: Whatever| {
@@ -35,6 +37,7 @@
         .arg_required_else_help(true)
         .subcommands(servers::build_commands())
         .subcommands(caller::build_commands())
+        .subcommand(load::build_command())
 }
 
 /// An option with a value of the type `T`.
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod answer;
 pub mod client;
 pub mod http;
+pub mod load;
 pub mod starts;
 pub mod store;
 pub mod submit;
--- /dev/null
+++ b/crates/testbed/src/load/run.rs
@@ -0,0 +1,112 @@
+//! Sends the jobs of a plan at their times.
+
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use futures::StreamExt;
+use futures::channel::mpsc;
+use smol_str::format_smolstr;
+
+use super::direct::Direct;
+use super::plan::{Arrival, Plan, QueuePlan};
+use super::report::{Ended, Report};
+use crate::submit::{self, Caller, Job, Outcome};
+
+/// Reasons that a report keeps.
+const KEPT_REASONS: usize = 20;
+
+/// Where the load goes.
+#[derive(Clone, Debug)]
+pub enum Target {
+    /// To entries; each queue's key is presented.
+    Entries(Caller),
+    /// To workers.
+    Direct(Direct),
+}
+
+impl Target {
+    async fn submit(&self, plan: &QueuePlan, job: &Job) -> Outcome {
+        match self {
+            Self::Entries(caller) => caller.clone().with_key(plan.key.clone()).submit(job).await,
+            Self::Direct(direct) => direct.submit(job).await,
+        }
+    }
+}
+
+fn build_job(plan: &QueuePlan, prefix: &str, number: usize) -> Job {
+    let mark = format_smolstr!("{prefix}-{number}");
+    Job {
+        queue: plan.queue.clone(),
+        team: plan.team.clone(),
+        payload: submit::mark_payload(&plan.payload, &mark),
+        request_id: Some(mark),
+        expected_run_ms: plan.expected_run_ms,
+        deadline_ms: plan.deadline_ms,
+    }
+}
+
+/// Sends the jobs of the plan and waits for all of them to end.
+///
+/// Latencies count from the scheduled arrival and not from the send, so a slow system or a late generator
+/// doesn't hide the waiting time of later jobs (coordinated omission).
+pub async fn run(plan: &Plan, target: &Target, prefix: &str, max_in_flight: usize) -> Report {
+    let schedule = plan.schedule();
+    let (tx, mut ended) = mpsc::unbounded();
+    let mut report = Report::default();
+    let mut in_flight = 0;
+    let start = Instant::now();
+    for (number, arrival) in schedule.into_iter().enumerate() {
+        if let Some(wait) = arrival.at.checked_sub(start.elapsed()) {
+            task::sleep(wait).await;
+        }
+        while let Ok(done) = ended.try_recv() {
+            in_flight -= 1;
+            count_ended(&mut report, plan, &done);
+        }
+        if in_flight >= max_in_flight {
+            report.not_sent += 1;
+            continue;
+        }
+        in_flight += 1;
+        report.add_send_lag(start.elapsed().saturating_sub(arrival.at));
+        let queue = plan.queues[arrival.queue].clone();
+        let job = build_job(&queue, prefix, number);
+        task::spawn(send(target.clone(), queue, job, arrival, start, tx.clone()));
+    }
+    drop(tx);
+    while let Some(done) = ended.next().await {
+        count_ended(&mut report, plan, &done);
+    }
+    report
+}
+
+async fn send(
+    target: Target,
+    queue: QueuePlan,
+    job: Job,
+    arrival: Arrival,
+    start: Instant,
+    tx: mpsc::UnboundedSender<Ended>,
+) {
+    let sent = start.elapsed();
+    let outcome = target.submit(&queue, &job).await;
+    let now = start.elapsed();
+    let (latency, service) = (now.saturating_sub(arrival.at), now.saturating_sub(sent));
+    // The receiver lives until the last sender is dropped.
+    let _ = tx.unbounded_send(Ended { queue: arrival.queue, outcome, latency, service });
+}
+
+fn count_ended(report: &mut Report, plan: &Plan, ended: &Ended) {
+    let queue = &plan.queues[ended.queue];
+    report.add(&queue.queue, queue.team.as_ref(), ended);
+    let Some(reason) = ended.outcome.reason() else { return };
+    if report.reasons.len() < KEPT_REASONS || report.reasons.contains_key(&reason) {
+        *report.reasons.entry(reason).or_default() += 1;
+    }
+}
+
+/// Time for which leases of direct calls last: the load, and a margin for the jobs that end after it.
+#[must_use]
+pub fn lease_ttl(plan: &Plan) -> Duration {
+    Duration::from_millis(plan.duration_ms) + Duration::from_secs(60)
+}
--- a/crates/testbed/src/submit.rs
+++ b/crates/testbed/src/submit.rs
@@ -78,6 +78,20 @@
     WrongAnswer,
 }
 
+impl Outcome {
+    /// Why the job was not served, if something is known.
+    #[must_use]
+    pub fn reason(&self) -> Option<String> {
+        match self {
+            Self::NotRun { status, reason } => Some(format!("not run: {status}: {reason}")),
+            Self::Failed { reason } => Some(format!("failed: {reason}")),
+            Self::Unknown { reason } => Some(format!("unknown: {reason}")),
+            Self::Pending { state } => Some(format!("pending: {state}")),
+            Self::Served | Self::Cancelled | Self::WrongAnswer => None,
+        }
+    }
+}
+
 #[derive(Deserialize)]
 struct Accepted {
     job: SmolStr,
