Let answers get lost without an effect or with a late one

Cause: a lost store answer may belong to a write that never arrives or arrives late, and a worker's answer to a start may be lost while the task runs; the stand-ins had only the case in which the write took effect at once. Change: the store's lost answers have an effect (applied, none, late) and can be limited to operations and key prefixes; a worker can lose the answers to starts. Conclusion: the fault matrix can cover all sides of a lost answer.

--- a/crates/testbed/src/store/api.rs
+++ b/crates/testbed/src/store/api.rs
@@ -12,7 +12,7 @@
 use tide::http::Method;
 
 use super::data::{Data, Read, Written};
-use super::faults::{Delay, Faults, Limits, Lost, Outage, OutageMode, Stale};
+use super::faults::{Call, Delay, Effect, Faults, Limits, Lost, Outage, OutageMode, Stale};
 use super::stats::Stats;
 use crate::http;
 
@@ -93,14 +93,9 @@
             return Ok(next.run(req).await);
         }
         let store = Arc::clone(req.state());
-        let client = client_of(&req);
-        let (operation, prefix) = name_operation(&req);
-        lock(&store.stats).add_call(operation, &prefix, &client, Instant::now());
-        let mut res = pass_faults(&store, &client, req, next).await?;
-        let is_key_write = matches!(operation, "put" | "delete") && res.status().is_success();
-        if is_key_write && lock(&store.faults).loses_answer(&client) {
-            res = http::no_answer();
-        }
+        let call = name_call(&req);
+        lock(&store.stats).add_call(&call, Instant::now());
+        let res = pass_faults(&store, &call, req, next).await?;
         let status = match res.header(http::NO_ANSWER) {
             Some(_) => "lost".to_owned(),
             None => res.status().to_string(),
@@ -110,11 +105,11 @@
     })
 }
 
-async fn pass_faults(store: &Store, client: &str, req: Request, next: tide::Next<'_, Shared>) -> tide::Result {
-    if let Some(res) = meet_outage(store, client).await {
+async fn pass_faults(store: &Store, call: &Call, req: Request, next: tide::Next<'_, Shared>) -> tide::Result {
+    if let Some(res) = meet_outage(store, &call.client).await {
         return Ok(res);
     }
-    let delay = lock(&store.faults).delay_for(client);
+    let delay = lock(&store.faults).delay_for(&call.client);
     if !delay.is_zero() {
         task::sleep(delay).await;
     }
@@ -122,7 +117,27 @@
     if !lock(&store.faults).try_take(is_write, Instant::now()) {
         return http::reply_json(429, &json!({ "reason": "rate limit" }));
     }
-    Ok(next.run(req).await)
+    if lock(&store.faults).loses_answer(call, Effect::None) {
+        return Ok(http::no_answer());
+    }
+    if lock(&store.faults).loses_answer(call, Effect::Late) {
+        let late = lock(&store.faults).late();
+        task::spawn(write_late(req, late));
+        return Ok(http::no_answer());
+    }
+    let res = next.run(req).await;
+    let is_lost = res.status().is_success() && lock(&store.faults).loses_answer(call, Effect::Applied);
+    Ok(if is_lost { http::no_answer() } else { res })
+}
+
+/// Applies a write of a key after its connection was closed; other calls have no late effect.
+async fn write_late(req: Request, late: Duration) {
+    task::sleep(late).await;
+    let _answer = match (req.method(), req.url().path().starts_with("/kv/")) {
+        (Method::Put, true) => write_key(req).await,
+        (Method::Delete, true) => delete_key(req).await,
+        _ => return,
+    };
 }
 
 async fn meet_outage(store: &Store, client: &str) -> Option<tide::Response> {
@@ -143,21 +158,22 @@
     req.header("x-client").map_or_else(String::new, |v| v[0].as_str().to_owned())
 }
 
-fn name_operation(req: &Request) -> (&'static str, String) {
+fn name_call(req: &Request) -> Call {
     let path = req.url().path();
     let mut parts = path.trim_start_matches('/').split('/');
     let kind = parts.next().unwrap_or_default();
-    let prefix = parts.next().unwrap_or_default().to_owned();
-    match (kind, req.method()) {
+    let prefix = parts.next().unwrap_or_default();
+    let (operation, prefix) = match (kind, req.method()) {
         ("kv", Method::Get) => ("get", prefix),
         ("kv", Method::Put) => ("put", prefix),
         ("kv", Method::Delete) => ("delete", prefix),
         ("watch", _) => ("watch", prefix),
-        ("lease", Method::Delete) => ("revoke", "lease".into()),
-        ("lease", _) if path.ends_with("/renew") => ("renew", "lease".into()),
-        ("lease", _) => ("grant", "lease".into()),
-        _ => ("other", String::new()),
-    }
+        ("lease", Method::Delete) => ("revoke", "lease"),
+        ("lease", _) if path.ends_with("/renew") => ("renew", "lease"),
+        ("lease", _) => ("grant", "lease"),
+        _ => ("other", ""),
+    };
+    Call { operation, prefix: prefix.to_owned(), client: client_of(req) }
 }
 
 /// The key is the rest of the path; it may contain slashes.
--- a/crates/testbed/src/store/faults.rs
+++ b/crates/testbed/src/store/faults.rs
@@ -43,7 +43,20 @@
     pub clients: Vec<SmolStr>,
 }
 
-/// Answers to writes of keys are lost after the write took effect.
+/// What becomes of a call whose answer is lost.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Effect {
+    /// It takes effect before the connection is closed; calls without effect are answered.
+    #[default]
+    Applied,
+    /// It has no effect.
+    None,
+    /// It takes effect `late_ms` after the connection was closed; only for writes of keys.
+    Late,
+}
+
+/// Answers are lost: the connection is closed instead.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Lost {
@@ -53,10 +66,39 @@
     pub probability: f64,
     /// Seed of the choice.
     pub seed: u64,
+    /// What becomes of the call.
+    pub effect: Effect,
+    /// Time to a late effect.
+    pub late_ms: u64,
+    /// Operations that are concerned, by their names in the counts; empty for `put` and `delete`.
+    pub operations: Vec<SmolStr>,
+    /// Key prefixes that are concerned; empty for all.
+    pub prefixes: Vec<SmolStr>,
     /// Values of `x-client` that are concerned; empty for all callers.
     pub clients: Vec<SmolStr>,
 }
 
+impl Lost {
+    fn concerns(&self, call: &Call) -> bool {
+        let is_operation = match self.operations.as_slice() {
+            [] => matches!(call.operation, "put" | "delete"),
+            names => concerns(names, call.operation),
+        };
+        is_operation && concerns(&self.prefixes, &call.prefix) && concerns(&self.clients, &call.client)
+    }
+}
+
+/// A call as the faults and the counts see it.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Operation.
+    pub operation: &'static str,
+    /// First part of the key, or `lease`.
+    pub prefix: String,
+    /// Value of `x-client`.
+    pub client: String,
+}
+
 /// Reads lag behind.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -81,8 +123,9 @@
     }
 }
 
-fn concerns(clients: &[SmolStr], client: &str) -> bool {
-    clients.is_empty() || clients.iter().any(|c| c == client)
+/// Whether a name is in a list; an empty list stands for all names.
+fn concerns(names: &[SmolStr], name: &str) -> bool {
+    names.is_empty() || names.iter().any(|n| n == name)
 }
 
 #[derive(Debug)]
@@ -169,9 +212,9 @@
         bucket.try_take(now)
     }
 
-    /// Whether the answer to a write that took effect gets lost.
-    pub fn loses_answer(&mut self, client: &str) -> bool {
-        if !concerns(&self.lost.clients, client) {
+    /// Whether the answer to the call gets lost with this effect. A chosen call counts as lost.
+    pub fn loses_answer(&mut self, call: &Call, effect: Effect) -> bool {
+        if self.lost.effect != effect || !self.lost.concerns(call) {
             return false;
         }
         if self.lost.count > 0 {
@@ -180,4 +223,9 @@
         }
         self.lost.probability > 0.0 && self.rng.random_bool(self.lost.probability.min(1.0))
     }
+
+    /// Time to a late effect.
+    pub const fn late(&self) -> Duration {
+        Duration::from_millis(self.lost.late_ms)
+    }
 }
--- a/crates/testbed/src/store/mod.rs
+++ b/crates/testbed/src/store/mod.rs
@@ -7,4 +7,4 @@
 
 pub use api::start;
 pub use data::{Read, Written};
-pub use faults::{Delay, Limits, Lost, Outage, OutageMode, Stale};
+pub use faults::{Delay, Effect, Limits, Lost, Outage, OutageMode, Stale};
--- a/crates/testbed/src/store/stats.rs
+++ b/crates/testbed/src/store/stats.rs
@@ -6,6 +6,8 @@
 use serde_json::{Value, json};
 use smol_str::SmolStr;
 
+use super::faults::Call;
+
 /// Full seconds over which the rate is averaged.
 const RATE_SECONDS: u64 = 10;
 
@@ -63,11 +65,12 @@
     }
 
     /// Counts a call on arrival.
-    pub fn add_call(&mut self, operation: &str, prefix: &str, client: &str, now: Instant) {
+    pub fn add_call(&mut self, call: &Call, now: Instant) {
+        let Call { operation, prefix, client } = call;
         let second = now.saturating_duration_since(self.start).as_secs();
         self.all.add(second);
-        self.operations.entry(operation.into()).or_default().add(second);
-        self.prefixes.entry(prefix.into()).or_default().entry(operation.into()).or_default().add(second);
+        self.operations.entry((*operation).into()).or_default().add(second);
+        self.prefixes.entry(prefix.into()).or_default().entry((*operation).into()).or_default().add(second);
         self.clients.entry(client.into()).or_default().add(second);
     }
 
--- a/crates/testbed/src/worker/api.rs
+++ b/crates/testbed/src/worker/api.rs
@@ -32,6 +32,8 @@
     pub delay_ms: Option<u64>,
     /// Number of the next answers to end in the middle.
     pub cut: Option<u64>,
+    /// Number of the next starts whose answer is lost, at once, while the task runs on.
+    pub lost: Option<u64>,
     /// Whether calls wait and tasks don't end.
     pub frozen: Option<bool>,
     /// Whether connections are closed without an answer; leases and tasks go on.
@@ -58,13 +60,20 @@
     }
 
     fn takes_cut(&self) -> bool {
-        let mut faults = self.faults();
-        let left = faults.cut.unwrap_or(0);
-        faults.cut = Some(left.saturating_sub(1));
-        left > 0
+        take_one(&mut self.faults().cut)
+    }
+
+    fn loses_start(&self) -> bool {
+        take_one(&mut self.faults().lost)
     }
 }
 
+fn take_one(left: &mut Option<u64>) -> bool {
+    let before = left.unwrap_or(0);
+    *left = Some(before.saturating_sub(1));
+    before > 0
+}
+
 /// Starts a worker and returns its address.
 ///
 /// # Errors
@@ -192,6 +201,9 @@
     };
     let ended = worker.data().run_mut(run).map(|r| r.wait_for_end());
     task::spawn(follow_run(Arc::clone(&worker), run));
+    if worker.loses_start() {
+        return Ok(http::no_answer());
+    }
     if !wait {
         return http::reply_json(202, &json!({ "task": task }));
     }
@@ -317,6 +329,7 @@
             fail: new.fail.or(faults.fail),
             delay_ms: new.delay_ms.or(faults.delay_ms),
             cut: new.cut.or(faults.cut),
+            lost: new.lost.or(faults.lost),
             frozen: new.frozen.or(faults.frozen),
             unreachable: new.unreachable.or(faults.unreachable),
         };
--- a/crates/testbed/tests/store.rs
+++ b/crates/testbed/tests/store.rs
@@ -133,6 +133,31 @@
     assert_eq!((again.status, version_of(&again)), (409, 1));
 }
 
+/// Guards against fault tests that see only one side of a lost answer: the write may also have no effect, or
+/// take effect after the caller has looked.
+#[async_std::test]
+async fn a_lost_call_may_have_no_effect_or_a_late_one() {
+    let store = Store::start(NO_LIMITS).await;
+    let put = |key: &str| {
+        let path = format!("/kv/{key}?expect=0");
+        async move { Client::new().call(store.addr, Method::Put, &path, &[], "x").await }
+    };
+    store.control("lost", &json!({ "count": 1, "effect": "none", "prefixes": ["jobs"] })).await;
+    assert_eq!(put("config").await.expect("other keys aren't concerned").status, 200);
+    assert!(put("jobs/00").await.is_err());
+    assert_eq!(store.get("jobs/00").await.status, 404);
+
+    store.control("lost", &json!({ "count": 1, "effect": "late", "late_ms": 200 })).await;
+    let sent = Instant::now();
+    assert!(put("jobs/01").await.is_err());
+    poll_until("the late write", || async { (store.get("jobs/01").await.status == 200).then_some(()) }).await;
+    assert!(sent.elapsed() >= Duration::from_millis(200), "written after {:?}", sent.elapsed());
+
+    store.control("lost", &json!({ "count": 1, "operations": ["grant"] })).await;
+    assert_eq!(put("jobs/02").await.expect("an answer").status, 200);
+    assert!(store.client.post(store.addr, "/lease?ttl_ms=60000", "").await.is_err());
+}
+
 /// Guards against faults that can't be repeated: the same seed has to lose the same answers.
 #[async_std::test]
 async fn lost_answers_follow_the_seed() {
--- a/crates/testbed/tests/worker.rs
+++ b/crates/testbed/tests/worker.rs
@@ -138,6 +138,18 @@
     assert_eq!(worker.starts().await.len(), 2, "the stand-in doesn't remove duplicates");
 }
 
+/// Guards against callers that take a start without an answer for one that had no effect.
+#[async_std::test]
+async fn a_start_with_a_lost_answer_runs() {
+    let worker = Worker::start().await;
+    let lease = worker.lease(60_000).await;
+    control(worker.addr, "faults", &json!({ "lost": 1 })).await;
+    let path = format!("/tasks?lease={lease}&task=t1&wait=false");
+    let lost = Client::new().post(worker.addr, &path, "{}").await;
+    assert!(matches!(lost, Err(ClientError::NoResponse { .. })), "{lost:?}");
+    worker.wait_for_state("t1", "done").await;
+}
+
 /// Guards against a reboot that keeps tasks or leases, or answers for lost ones.
 #[async_std::test]
 async fn a_reboot_loses_tasks_and_changes_the_incarnation() {
