--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod journal_state;
 pub mod keys;
 pub mod ledger;
+pub mod ledger_line;
 pub mod map;
 pub mod membership;
 pub mod permits;
