Add the month report

Cause: auditors compare each month line by line with paper records, from whichever entry they ask. Change: report::MonthReport merges the segments of all shards, keeps one line an event, orders the lines, adds up totals by team, class and result, and states what it lacks: an index or a segment that is absent, unread, undecodable or misplaced, and lines that contradict each other.

Conclusion: entries only have to read the documents and name those that the store did not return.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,8 @@
 pub mod planner;
 pub mod queue;
 pub mod quota;
+pub mod report;
+mod report_row;
 pub mod retry;
 pub mod routing;
 pub mod units;
