Set the job bound of a shard to a number that is reached

Cause: the bytes that are set aside for each job admitted 521 jobs with an empty payload (a trial with the spec of the tests and a print in the test), so the bound of 2,000 jobs was never reached. Change: MAX_JOBS is 500; the test of the bounds checks both, with empty and with 4 KB payloads, instead of only the byte bound, and expects the exact count. The test of a large answer in a full shard fills it by bytes.

--- a/crates/core/src/journal.rs
+++ b/crates/core/src/journal.rs
@@ -24,7 +24,9 @@
 pub const TOMBSTONE_RETENTION: Millis = Millis::from_secs(24 * 3600);
 
 /// Jobs of a shard that aren't archived.
-pub const MAX_JOBS: usize = 2_000;
+///
+/// With the bytes that are set aside for each, [`MAX_SHARD_BYTES`] admits little more of the smallest jobs.
+pub const MAX_JOBS: usize = 500;
 
 /// Bytes that the records and tombstones of a shard may come to.
 ///
--- a/crates/core/tests/journal/rules.rs
+++ b/crates/core/tests/journal/rules.rs
@@ -300,24 +300,31 @@
     assert_eq!(shard.get(&job("j")), None);
 }
 
-/// Guards against a shard that grows without bound.
-#[test]
-fn shard_refuses_jobs_above_its_count() {
+/// Accepts jobs with a payload of this length until the shard is full.
+fn fill_shard(payload_bytes: usize) -> (JobShard, usize, Bound) {
     let mut shard = JobShard::default();
-    let mut small = spec("j", true);
-    small.payload = inline("");
+    let mut spec = spec("j", false);
+    spec.payload = inline(&"x".repeat(payload_bytes));
     let mut accepted = 0;
-    let bound = loop {
-        small.id = job(&format!("j{accepted}"));
-        match shard.apply(&JobCommand::Accept { spec: Box::new(small.clone()) }) {
+    loop {
+        spec.id = job(&format!("j{accepted}"));
+        match shard.apply(&JobCommand::Accept { spec: Box::new(spec.clone()) }) {
             JobOutcome::Accepted => accepted += 1,
-            JobOutcome::Rejected { why: Rejection::Full { bound } } => break bound,
+            JobOutcome::Rejected { why: Rejection::Full { bound } } => return (shard, accepted, bound),
             other => panic!("{other:?}"),
         }
-    };
-    // With the growth set aside, the byte bound comes first even for the smallest jobs of this spec.
+    }
+}
+
+/// Guards against a shard that grows without bound, and against a bound that is never reached.
+#[test]
+fn shard_refuses_jobs_above_its_bounds() {
+    let (_, accepted, bound) = fill_shard(0);
+    assert_eq!((accepted, bound), (MAX_JOBS, Bound::Jobs));
+    let (_, accepted, bound) = fill_shard(MAX_INLINE_BYTES);
     assert_eq!(bound, Bound::Bytes);
-    assert!((400..MAX_JOBS).contains(&accepted), "{accepted}");
+    let each = MAX_INLINE_BYTES + GROWTH_BYTES;
+    assert!((MAX_SHARD_BYTES / (each + 500)..MAX_SHARD_BYTES / each).contains(&accepted), "{accepted}");
 }
 
 /// Text whose JSON form is as large as the bound allows.
@@ -410,11 +417,8 @@
 /// Guards against an answer that is lost because the shard is full: it fits once it has its own key.
 #[test]
 fn answer_that_finds_the_shard_full_goes_under_its_own_key() {
-    let mut shard = JobShard::default();
-    let mut n = 0;
-    while shard.apply(&accept(&format!("j{n}"), false)) == JobOutcome::Accepted {
-        n += 1;
-    }
+    // The room that is left is less than one more of these jobs takes, which is less than the answer.
+    let (mut shard, _, _) = fill_shard(2_000);
     shard.apply(&take("j0", "a", 1, "t1", "v1"));
     let done = |answer| JobCommand::Finish { job: job("j0"), task: task("t1"), answer, at: AT };
     let large = inline(&"x".repeat(MAX_INLINE_BYTES));
