Add the fleet document with drain permits and waves

Cause: VM records, drains, moves and waves need one place that checks the availability budget (I1) and the one-pool rule (I2) whichever planner writes, and however late. Change: fleet::Fleet with its commands, typed rejections and the wave. A command names the version of the VM record it was planned on; versions are unique in the document, so a repeated or delayed command is rejected. Grants and moves carry the budgets and deadline windows with their configuration revision. Table tests, and a proptest with a fixed seed (400 cases, three stale planners, lost answers, changes of the budget) that checks the invariants from the records at every write.

The last two rules are covered by table tests only. A single planner that is paused across the start of a deadline window, while nobody else writes, is covered only by the margin of 60 s before the window.

--- /dev/null
+++ b/crates/core/tests/fleet_random.rs
@@ -0,0 +1,162 @@
+//! Random commands from several stale planners, with a fixed seed.
+
+mod fleet_support;
+
+use carawaybarrow_core::commit::Document;
+use carawaybarrow_core::config::Config;
+use carawaybarrow_core::fleet::{Basis, Cause, Fleet, FleetCommand};
+use carawaybarrow_core::ids::VmId;
+use carawaybarrow_core::units::WallTime;
+use carawaybarrow_core::wave::WaveId;
+use proptest::prelude::*;
+use proptest::test_runner::{Config as ProptestConfig, RngSeed};
+
+use fleet_support::{Answer, Cell, operator, place, pool, pool_id, set_pool, vm_id};
+
+const PLANNERS: usize = 3;
+const VMS: usize = 9;
+const POOLS: [&str; 3] = ["urgent", "patient", "spare"];
+const WINDOW: [(u64, u64); 1] = [(200_000, 300_000)];
+
+#[derive(Clone, Debug)]
+enum Op {
+    /// A planner reads the document, the configuration and the time.
+    Read { planner: usize },
+    /// A planner writes commands on the ground of its last read.
+    Write { planner: usize, wishes: Vec<Wish>, answer: u8 },
+    /// An operator changes a pool's budget.
+    SetBudget { pool: usize, min_available: u8 },
+    /// Time passes.
+    Wait { ms: u64 },
+}
+
+/// A command without the parts that come from the planner's copy.
+#[derive(Clone, Debug)]
+struct Wish {
+    kind: u8,
+    vm: usize,
+    pool: usize,
+}
+
+fn wishes() -> impl Strategy<Value = Vec<Wish>> {
+    let wish = (0u8..16, 0..VMS, 0..POOLS.len()).prop_map(|(kind, vm, pool)| Wish { kind, vm, pool });
+    prop::collection::vec(wish, 1..4)
+}
+
+fn ops() -> impl Strategy<Value = Vec<Op>> {
+    let op = prop_oneof![
+        4 => (0..PLANNERS).prop_map(|planner| Op::Read { planner }),
+        8 => (0..PLANNERS, wishes(), 0u8..6)
+            .prop_map(|(planner, wishes, answer)| Op::Write { planner, wishes, answer }),
+        1 => (0..POOLS.len(), 0u8..=100).prop_map(|(pool, min_available)| Op::SetBudget { pool, min_available }),
+        2 => (0u64..40_000).prop_map(|ms| Op::Wait { ms }),
+    ];
+    prop::collection::vec(op, 20..120)
+}
+
+#[derive(Clone)]
+struct Copy {
+    base: (u64, Fleet),
+    config: Config,
+    now: u64,
+}
+
+fn command(wish: &Wish, copy: &Copy) -> FleetCommand {
+    let id = vm_id(&format!("vm{}", wish.vm));
+    let record = copy.base.1.vm(&id);
+    let expect = record.map_or_else(Default::default, |vm| vm.version);
+    let at = WallTime(copy.now);
+    let basis = Basis::from_config(&copy.config, copy.config.pools.keys());
+    let wave = copy.base.1.wave().map_or(WaveId(1), |w| w.id);
+    let to = pool_id(POOLS[wish.pool]);
+    let grant = |vm: VmId, cause| FleetCommand::GrantDrain { vm, expect, cause, basis: basis.clone(), at };
+    match wish.kind {
+        0 => {
+            let incarnation = record.map_or(1, |vm| vm.place.incarnation.0 + 1);
+            let place = place(
+                &format!("a{}", wish.vm),
+                &format!("dc{}", wish.vm / 6),
+                &format!("r{}", wish.vm / 3),
+                incarnation,
+            );
+            FleetCommand::Register { vm: id, expect: record.map(|vm| vm.version), place, pool: to, at }
+        }
+        1 if wish.pool == 0 => FleetCommand::Remove { vm: id, expect },
+        1 | 2 => grant(id, Cause::Operator { by: operator() }),
+        3 | 4 => grant(id, Cause::Wave { wave }),
+        5 | 6 => grant(id, Cause::Move { to }),
+        7 | 8 => FleetCommand::MarkDrained { vm: id, expect },
+        9 => FleetCommand::MarkRebooting { vm: id, expect },
+        10 => FleetCommand::Return { vm: id, expect, at },
+        11 | 12 => FleetCommand::Move { vm: id, expect, to, basis, at },
+        13 if wish.pool == 0 => FleetCommand::MarkFailed { vm: id, expect, at },
+        13 => FleetCommand::MarkRecovered { vm: id, expect },
+        14 => FleetCommand::StartWave { replaces: Some(wave), cutoff: at, most: u32::MAX, by: operator(), at },
+        _ if wish.pool == 0 => FleetCommand::StopWave { wave, reason: "test".into(), by: operator() },
+        _ => {
+            FleetCommand::ResumeWave { wave, expect: copy.base.1.wave().map_or(0, |w| w.phase_changes), by: operator() }
+        }
+    }
+}
+
+fn set_up() -> (Cell, Config) {
+    let mut config = Config::default();
+    set_pool(&mut config, "urgent", pool(60, false, &WINDOW));
+    set_pool(&mut config, "patient", pool(50, false, &[]));
+    set_pool(&mut config, "spare", pool(0, true, &[]));
+    let mut cell = Cell::new(&config);
+    for i in 0..VMS {
+        let place = place(&format!("a{i}"), &format!("dc{}", i / 6), &format!("r{}", i / 3), 1);
+        let (vm, pool) = (vm_id(&format!("vm{i}")), pool_id(POOLS[i % POOLS.len()]));
+        let command = FleetCommand::Register { vm, expect: None, place, pool, at: WallTime(0) };
+        cell.commit(cell.read(), vec![command], Answer::Given);
+    }
+    let start =
+        FleetCommand::StartWave { replaces: None, cutoff: WallTime(1), most: 99, by: operator(), at: WallTime(1) };
+    cell.commit(cell.read(), vec![start], Answer::Given);
+    (cell, config)
+}
+
+fn run(ops: Vec<Op>) -> Cell {
+    let (mut cell, mut config) = set_up();
+    let mut now = 1_000;
+    let mut copies = vec![Copy { base: cell.read(), config: config.clone(), now }; PLANNERS];
+    for op in ops {
+        match op {
+            Op::Read { planner } => copies[planner] = Copy { base: cell.read(), config: config.clone(), now },
+            Op::Write { planner, wishes, answer } => {
+                let copy = &copies[planner];
+                let commands = wishes.iter().map(|w| command(w, copy)).collect();
+                let answer = match answer {
+                    0 => Answer::LostAfterEffect,
+                    1 => Answer::LostBeforeEffect,
+                    _ => Answer::Given,
+                };
+                cell.commit(copy.base.clone(), commands, answer);
+            }
+            Op::SetBudget { pool: i, min_available } => {
+                let windows: &[(u64, u64)] = if i == 0 { &WINDOW } else { &[] };
+                set_pool(&mut config, POOLS[i], pool(min_available, i == 2, windows));
+                cell.configs.insert(config.revision, config.clone());
+            }
+            Op::Wait { ms } => now += ms,
+        }
+    }
+    cell
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        rng_seed: RngSeed::Fixed(0x00f1_ee70),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards the invariants at every write against stale planners, lost answers and changes of the budget.
+    #[test]
+    fn stale_planners_break_no_rule(ops in ops()) {
+        let cell = run(ops);
+        prop_assert_eq!(Fleet::decode(&cell.fleet.encode()).unwrap(), cell.fleet);
+    }
+}
