--- /dev/null
+++ b/crates/core/tests/planner.rs
@@ -0,0 +1,373 @@
+//! Plans of maintenance waves and moves.
+
+mod fleet_support;
+
+use std::collections::BTreeMap;
+
+use carawaybarrow_core::commit::Document;
+use carawaybarrow_core::fleet::{Cause, Fleet, FleetCommand, FleetOutcome, VmState};
+use carawaybarrow_core::ids::{DataCentreId, RackId, VmId};
+use carawaybarrow_core::moves::{DemandMeter, DemandSample, PoolDemand};
+use carawaybarrow_core::planner::{self, ListedState, ListedVm, Observations, Policy, Report};
+use carawaybarrow_core::units::{Millis, WallTime};
+use carawaybarrow_core::wave_plan;
+
+use fleet_support::{Bench, operator, pool, pool_id, set_pool, vm_id};
+
+const HOUR: u64 = 3_600_000;
+const NOW: WallTime = WallTime(1_000_000);
+
+/// Reports of a fleet in which every worker answers as its record says.
+fn observe(fleet: &Fleet) -> Observations {
+    let mut seen = Observations::default();
+    for (id, vm) in fleet.vms() {
+        let report =
+            Report::Up { since: WallTime(0), incarnation: vm.place.incarnation, draining: vm.must_drain(), tasks: 0 };
+        seen.reports.insert(id.clone(), report);
+        seen.list.push(ListedVm {
+            vm: id.clone(),
+            address: vm.place.address.clone(),
+            data_centre: vm.place.data_centre.clone(),
+            rack: vm.place.rack.clone(),
+            state: ListedState::Live,
+        });
+    }
+    seen
+}
+
+fn short() -> PoolDemand {
+    PoolDemand { busy_slots: 32.0, slots: 32, queue_wait_ms: 2_000.0, short_since: Some(WallTime(0)), idle_since: None }
+}
+
+fn idle() -> PoolDemand {
+    PoolDemand { busy_slots: 2.0, slots: 32, queue_wait_ms: 0.0, short_since: None, idle_since: Some(WallTime(0)) }
+}
+
+fn granted(commands: &[FleetCommand]) -> Vec<(&VmId, &Cause)> {
+    let grants = commands.iter().filter_map(|c| match c {
+        FleetCommand::GrantDrain { vm, cause, .. } => Some((vm, cause)),
+        _ => None,
+    });
+    grants.collect()
+}
+
+/// Guards against plans that the document would reject.
+fn assert_accepted(fleet: &Fleet, commands: &[FleetCommand]) {
+    let mut copy = fleet.clone();
+    for command in commands {
+        assert_eq!(copy.apply(command), FleetOutcome::Applied, "{command:?}");
+    }
+}
+
+/// Guards against a pace that misses the period, or that takes far more VMs at once than the period needs.
+#[test]
+fn pace_at_target_size_is_about_32_an_hour() {
+    let policy = Policy::default();
+    let total = 32_000u64;
+    let mut now = policy.period.0 * 2;
+    // All registered in one moment, then maintained as they fall due.
+    let mut maintained: Vec<_> = (0..total).map(|_| WallTime(now)).collect();
+    let mut counts = Vec::new();
+    let mut oldest = 0;
+    for _ in 0..24 * 43 {
+        now += HOUR;
+        oldest = oldest.max(now - maintained[0].0);
+        let due = wave_plan::count_due(&maintained, maintained.len(), &policy, WallTime(now));
+        maintained.drain(..due);
+        maintained.extend((0..due).map(|_| WallTime(now)));
+        counts.push(due);
+    }
+    assert!(counts.iter().all(|c| (32..=33).contains(c)), "{:?}", counts.iter().max());
+    assert!(oldest <= policy.period.0, "a VM waited for {} h", oldest / HOUR);
+}
+
+/// Guards against VMs that were maintained just now being due again, and overdue ones that are not.
+#[test]
+fn due_vms() {
+    let policy = Policy::default();
+    let now = WallTime(policy.period.0 * 3);
+    let ago = |ms: u64| WallTime(now.0 - ms);
+    assert_eq!(wave_plan::count_due(&[now; 20], 20, &policy, now), 0);
+    assert_eq!(wave_plan::count_due(&[ago(policy.period.0); 20], 20, &policy, now), 20);
+    assert_eq!(wave_plan::count_due(&[], 0, &policy, now), 0);
+    let even: Vec<_> = (0..42).map(|day| ago((42 - day) * 24 * HOUR)).collect();
+    assert_eq!(wave_plan::count_due(&even, 42, &policy, now), 2);
+}
+
+/// Guards against a wave that starts without due VMs, in a deadline window, or while an operator has halted one.
+#[test]
+fn wave_starts_when_vms_are_due() {
+    let late = WallTime(Policy::default().period.0 * 2);
+    let starts = |bench: &Bench, now| {
+        let commands = planner::plan(&bench.fleet, &observe(&bench.fleet), &bench.config, now);
+        assert_accepted(&bench.fleet, &commands);
+        commands.iter().any(|c| matches!(c, FleetCommand::StartWave { .. }))
+    };
+    let mut bench = Bench::new(50, &[4]);
+    assert!(!starts(&bench, NOW));
+    assert!(starts(&bench, late));
+    bench.start_wave();
+    let wave = bench.fleet.wave().unwrap().id;
+    bench.accept(FleetCommand::StopWave { wave, reason: "race morning".into(), by: operator() });
+    assert!(!starts(&bench, late));
+
+    let mut bench = Bench::new(50, &[4]);
+    for name in ["urgent", "spare"] {
+        set_pool(&mut bench.config, name, pool(0, false, &[(late.0 - 1, late.0 + 1)]));
+    }
+    assert!(!starts(&bench, late));
+}
+
+/// Guards against a first batch of more than one VM a pool, and against batches that grow though growth is off.
+#[test]
+fn batches_grow_only_with_the_policy() {
+    for (grow_waves, expected) in [(true, vec![1, 2, 4, 1]), (false, vec![1; 8])] {
+        let policy = Policy { grow_waves, lend_spares: false, ..Policy::default() };
+        let mut bench = Bench::new(0, &[8]);
+        bench.start_wave();
+        let mut sizes = Vec::new();
+        loop {
+            let commands = planner::plan_with(&policy, &bench.fleet, &observe(&bench.fleet), &bench.config, NOW);
+            assert_accepted(&bench.fleet, &commands);
+            let taken: Vec<_> = granted(&commands).iter().map(|(vm, _)| (*vm).clone()).collect();
+            let in_pool: Vec<_> = taken.iter().filter(|vm| vm.as_str().starts_with('u')).collect();
+            if in_pool.is_empty() {
+                break;
+            }
+            sizes.push(in_pool.len());
+            for command in commands {
+                bench.accept(command);
+            }
+            for vm in &taken {
+                bench.maintain(vm.as_str());
+            }
+        }
+        assert_eq!(sizes, expected, "grow_waves: {grow_waves}");
+    }
+}
+
+/// Guards against drains on the strength of a VM that is listed but that nobody reaches, or that is leaving.
+#[test]
+fn unreachable_vms_count_as_unavailable() {
+    let policy = Policy::default();
+    let just_now = WallTime(NOW.0 - 1_000);
+    let up = |_: &Bench, _: &mut Observations| {};
+    let down = |_: &Bench, seen: &mut Observations| {
+        seen.reports.insert(vm_id("u3"), Report::Down { since: just_now });
+    };
+    let unknown = |_: &Bench, seen: &mut Observations| {
+        seen.reports.remove(&vm_id("u3"));
+    };
+    let leaving = |_: &Bench, seen: &mut Observations| {
+        seen.list.iter_mut().filter(|l| l.vm == vm_id("u3")).for_each(|l| l.state = ListedState::Leaving);
+    };
+    type Change<'a> = &'a dyn Fn(&Bench, &mut Observations);
+    let cases: [(&str, Change<'_>, bool); 4] =
+        [("up", &up, true), ("down", &down, false), ("unknown", &unknown, false), ("leaving", &leaving, false)];
+    for (name, change, drains) in cases {
+        let mut bench = Bench::new(75, &[4]);
+        bench.start_wave();
+        let mut seen = observe(&bench.fleet);
+        change(&bench, &mut seen);
+        let commands = planner::plan_with(&policy, &bench.fleet, &seen, &bench.config, NOW);
+        assert_accepted(&bench.fleet, &commands);
+        let drained = granted(&commands).iter().any(|(vm, _)| vm.as_str().starts_with('u'));
+        assert_eq!(drained, drains, "{name}");
+        assert!(!commands.iter().any(|c| matches!(c, FleetCommand::MarkFailed { .. })), "{name}");
+    }
+    let bench = Bench::new(75, &[4]);
+    let mut seen = observe(&bench.fleet);
+    seen.reports.insert(vm_id("u3"), Report::Down { since: WallTime(NOW.0 - policy.fail_after.0) });
+    let commands = planner::plan(&bench.fleet, &seen, &bench.config, NOW);
+    assert!(matches!(&commands[..], [FleetCommand::MarkFailed { vm, .. }] if *vm == vm_id("u3")), "{commands:?}");
+}
+
+/// Guards against records that flip between two VMs which a lagging list shows at one address.
+#[test]
+fn ambiguous_list_registers_nothing() {
+    let bench = Bench::new(50, &[2]);
+    let mut seen = observe(&bench.fleet);
+    let mut twin = seen.list.iter().find(|l| l.vm == vm_id("u0")).unwrap().clone();
+    twin.vm = vm_id("u9");
+    seen.list.push(twin);
+    let report = Report::Up { since: WallTime(0), incarnation: Default::default(), draining: false, tasks: 0 };
+    seen.reports.insert(vm_id("u9"), report);
+    assert!(planner::plan(&bench.fleet, &seen, &bench.config, NOW).is_empty());
+    seen.list.retain(|l| l.vm != vm_id("u0"));
+    let commands = planner::plan(&bench.fleet, &seen, &bench.config, NOW);
+    assert!(matches!(&commands[..], [FleetCommand::Register { vm, .. }] if *vm == vm_id("u9")), "{commands:?}");
+    assert_accepted(&bench.fleet, &commands);
+}
+
+/// Guards against a VM registered on the word of the list alone, and against one that gets no pool.
+#[test]
+fn new_vm_joins_the_spare_pool_once_it_answers() {
+    let bench = Bench::new(50, &[2]);
+    let mut seen = observe(&bench.fleet);
+    seen.list.push(ListedVm {
+        vm: vm_id("n0"),
+        address: "addr-n0".into(),
+        data_centre: DataCentreId::new("dc0").unwrap(),
+        rack: RackId::new("r0").unwrap(),
+        state: ListedState::Live,
+    });
+    assert!(planner::plan(&bench.fleet, &seen, &bench.config, NOW).is_empty());
+    let report = Report::Up { since: NOW, incarnation: Default::default(), draining: false, tasks: 0 };
+    seen.reports.insert(vm_id("n0"), report);
+    let commands = planner::plan(&bench.fleet, &seen, &bench.config, NOW);
+    assert!(
+        matches!(&commands[..], [FleetCommand::Register { pool, .. }] if *pool == pool_id("spare")),
+        "{commands:?}"
+    );
+}
+
+/// Guards against moves on short spikes, too soon after the last one, from the wrong pool or in a deadline window.
+#[test]
+fn moves_follow_lasting_demand() {
+    let lasting = |demand: PoolDemand, ms: u64| PoolDemand {
+        short_since: demand.short_since.map(|_| WallTime(NOW.0 - ms)),
+        idle_since: demand.idle_since.map(|_| WallTime(NOW.0 - ms)),
+        ..demand
+    };
+    let policy = Policy::default();
+    let no_hysteresis = Policy { hysteresis: false, ..policy };
+    let no_spares = Policy { lend_spares: false, ..policy };
+    let window = [(NOW.0, NOW.0 + 1_000)];
+    let none: &[(u64, u64)] = &[];
+    // (case, policy, demand of urgent, demand of patient, windows of urgent, origin of the VMs that move)
+    let cases = [
+        ("lasting", policy, lasting(short(), 60_000), idle(), none, "ss"),
+        ("spike", policy, lasting(short(), 59_000), idle(), none, ""),
+        ("spike without hysteresis", no_hysteresis, lasting(short(), 0), idle(), none, "ss"),
+        ("no spares, idle donor", no_spares, short(), idle(), none, "p"),
+        ("no spares, busy donor", no_spares, short(), short(), none, ""),
+        ("no spares, donor idle for a moment", no_spares, short(), lasting(idle(), 59_000), none, ""),
+        ("window", policy, short(), idle(), &window[..], ""),
+        ("no need", policy, idle(), idle(), none, ""),
+    ];
+    for (name, policy, urgent, patient, windows, expected) in cases {
+        let mut bench = Bench::new(50, &[4]);
+        for i in 0..4 {
+            bench.add(&format!("p{i}"), "patient", "dc5", "p");
+        }
+        set_pool(&mut bench.config, "urgent", pool(50, false, windows));
+        let mut seen = observe(&bench.fleet);
+        seen.demand = BTreeMap::from([(pool_id("urgent"), urgent), (pool_id("patient"), patient)]);
+        let commands = planner::plan_with(&policy, &bench.fleet, &seen, &bench.config, NOW);
+        assert_accepted(&bench.fleet, &commands);
+        let moved: String = granted(&commands)
+            .iter()
+            .filter(|(_, cause)| **cause == Cause::Move { to: pool_id("urgent") })
+            .map(|(vm, _)| &vm.as_str()[..1])
+            .collect();
+        assert_eq!(moved, expected, "{name}");
+    }
+}
+
+/// Guards against spare VMs that stay with an idle pool, and against two moves of a pool in a short time.
+#[test]
+fn lent_vms_go_back_and_pools_rest_between_moves() {
+    let mut bench = Bench::new(50, &[4]);
+    bench.accept(bench.grant_move("s0", "urgent", NOW.0));
+    bench.accept(bench.drained("s0"));
+    bench.accept(bench.move_to("s0", "urgent", NOW.0));
+    bench.accept(bench.back("s0", NOW.0));
+    let mut seen = observe(&bench.fleet);
+    let rest = Policy::default().between_moves.0;
+    for (demand, at, expected) in [
+        (idle(), NOW.0 + rest - 1, None),
+        (idle(), NOW.0 + rest, Some(("s0", "spare"))),
+        (short(), NOW.0 + rest - 1, None),
+        (short(), NOW.0 + rest, Some(("s1", "urgent"))),
+    ] {
+        seen.demand = BTreeMap::from([(pool_id("urgent"), demand)]);
+        let commands = planner::plan(&bench.fleet, &seen, &bench.config, WallTime(at));
+        assert_accepted(&bench.fleet, &commands);
+        let expected = expected.map(|(vm, to)| (vm_id(vm), Cause::Move { to: pool_id(to) }));
+        let found = granted(&commands).first().map(|(vm, cause)| ((*vm).clone(), (*cause).clone()));
+        assert_eq!(found, expected, "{at}");
+    }
+}
+
+/// Guards against a VM that is stuck between two pools when a deadline window opens during its drain.
+#[test]
+fn drained_vm_returns_when_a_window_opens() {
+    let mut bench = Bench::new(50, &[4]);
+    bench.accept(bench.grant_move("s0", "urgent", 10_000));
+    bench.accept(bench.drained("s0"));
+    let moves = planner::plan(&bench.fleet, &observe(&bench.fleet), &bench.config, NOW);
+    assert!(matches!(&moves[..], [FleetCommand::Move { .. }]), "{moves:?}");
+    let old = bench.config.clone();
+    set_pool(&mut bench.config, "urgent", pool(50, false, &[(NOW.0, NOW.0 + 1_000)]));
+    let commands = planner::plan(&bench.fleet, &observe(&bench.fleet), &bench.config, NOW);
+    assert!(matches!(&commands[..], [FleetCommand::Return { .. }]), "{commands:?}");
+    bench.accept(bench.grant_operator("u0"));
+    let commands = planner::plan(&bench.fleet, &observe(&bench.fleet), &old, NOW);
+    assert!(
+        commands.iter().all(|c| matches!(c, FleetCommand::MarkDrained { .. })),
+        "an old configuration: {commands:?}"
+    );
+}
+
+/// Guards against a return before the VM has restarted, and against a VM that reboots for ever without notice.
+#[test]
+fn reboots_end_with_a_new_incarnation_or_a_failure() {
+    let mut bench = Bench::new(0, &[4]);
+    bench.start_wave();
+    bench.accept(bench.grant_wave("u0"));
+    bench.accept(bench.drained("u0"));
+    bench.accept(bench.rebooting("u0"));
+    let plan_for = |bench: &Bench, report: Option<Report>, now| {
+        let mut seen = observe(&bench.fleet);
+        if let Some(report) = report {
+            seen.reports.insert(vm_id("u0"), report);
+        }
+        let commands = planner::plan(&bench.fleet, &seen, &bench.config, now);
+        commands.into_iter().find(|c| {
+            matches!(c, FleetCommand::Return { vm, .. } | FleetCommand::MarkFailed { vm, .. } if *vm == vm_id("u0"))
+        })
+    };
+    assert_eq!(plan_for(&bench, None, NOW), None);
+    assert_eq!(plan_for(&bench, Some(Report::Down { since: WallTime(NOW.0 - 60_000) }), NOW), None);
+    let failed = plan_for(&bench, Some(Report::Down { since: WallTime(NOW.0 - 900_000) }), NOW);
+    assert!(matches!(failed, Some(FleetCommand::MarkFailed { .. })));
+    bench.restart("u0");
+    assert!(matches!(plan_for(&bench, None, NOW), Some(FleetCommand::Return { .. })));
+    assert_eq!(bench.vm("u0").state, VmState::Rebooting);
+}
+
+/// Guards against demand that follows each spike of some seconds.
+#[test]
+fn demand_is_smoothed() {
+    let mut meter = DemandMeter::default();
+    let sample = |busy_slots| DemandSample { busy_slots, slots: 32, queue_wait: Millis(0) };
+    let mut shorts = Vec::new();
+    for second in 0..300u64 {
+        // A spike of 5 s to the whole pool in each 30 s, and a twentieth in between.
+        let busy = if second % 30 < 5 { 32 } else { 2 };
+        meter.observe(sample(busy), WallTime(second * 1_000));
+        if second >= 30 {
+            shorts.push(meter.demand().short_since.is_some());
+        }
+    }
+    assert!(shorts.iter().all(|short| !short));
+    for second in 300..600u64 {
+        meter.observe(sample(32), WallTime(second * 1_000));
+    }
+    let since = meter.demand().short_since.expect("lasting demand makes the pool short");
+    assert!((300_000..480_000).contains(&since.0), "{since:?}");
+}
+
+/// Guards against an entry that is cut off from the workers marking the fleet failed.
+#[test]
+fn cut_off_observer_plans_nothing() {
+    let bench = Bench::new(50, &[4]);
+    for (down, empty) in [(3, false), (4, true), (6, true)] {
+        let mut seen = observe(&bench.fleet);
+        for report in seen.reports.values_mut().take(down) {
+            *report = Report::Down { since: WallTime(0) };
+        }
+        let commands = planner::plan(&bench.fleet, &seen, &bench.config, NOW);
+        assert_eq!(commands.is_empty(), empty, "{down} of 6 VMs are down: {commands:?}");
+    }
+}
