Add quarantine of workers that fail more than their pool

Cause: some workers fail everything they start and attract work because they are always free. Change: health::PoolHealth compares the distinct jobs of a worker in a window of 300 s with those of the other workers of its pool, leaves out jobs that failed on two workers and ended well on none, and quarantines at most 20 % of the pool (at least one VM). After 60 s one trial job decides.

Conclusion: a worker is judged by its pool, and a job that fails everywhere blames none. The cost of a judgement in a large pool isn't measured.

--- /dev/null
+++ b/crates/core/tests/health.rs
@@ -0,0 +1,140 @@
+//! Quarantine of workers.
+
+use carawaybarrow_core::health::{HealthEvent, JobResult, PoolHealth, Verdict};
+use carawaybarrow_core::ids::{JobId, VmId};
+use carawaybarrow_core::units::MonoTime;
+
+fn vm(i: u32) -> VmId {
+    VmId::new(format!("w{i}")).unwrap()
+}
+
+fn job(name: impl std::fmt::Display) -> JobId {
+    JobId::new(format!("j{name}")).unwrap()
+}
+
+fn health(size: u32) -> PoolHealth {
+    let members: Vec<_> = (0..size).map(vm).collect();
+    let mut health = PoolHealth::new();
+    health.set_members(&members);
+    health
+}
+
+/// Ten jobs on each worker; those of the first `bad` workers fail.
+fn run_jobs(health: &mut PoolHealth, size: u32, bad: u32, at: u64) {
+    for n in 0..10 {
+        for w in (0..size).rev() {
+            let result = if w < bad { JobResult::Failed } else { JobResult::Done };
+            health.record(&vm(w), &job(format!("{at}-{w}-{n}")), result, MonoTime(at + n));
+        }
+    }
+}
+
+/// Guards against a worker that fails everything and keeps its jobs, and against more than 20 % in quarantine.
+#[test]
+fn failing_workers_are_quarantined_up_to_the_limit() {
+    // (workers, of which fail everything, quarantined)
+    for (size, bad, expected) in
+        [(10, 0, 0), (10, 1, 1), (10, 2, 2), (10, 4, 2), (3, 1, 1), (4, 2, 1), (1, 1, 0), (25, 6, 5)]
+    {
+        let mut health = health(size);
+        run_jobs(&mut health, size, bad, 0);
+        assert_eq!(health.quarantined(), expected, "{bad} of {size} workers fail");
+        let closed: Vec<_> = (0..size).filter(|w| health.check(&vm(*w), MonoTime(20)) != Verdict::Open).collect();
+        assert!(closed.iter().all(|w| *w < bad), "a good worker was quarantined: {closed:?}");
+    }
+}
+
+/// Guards against workers blamed for jobs that fail everywhere.
+#[test]
+fn jobs_that_fail_everywhere_blame_no_worker() {
+    let mut shared = health(5);
+    for n in 0..20 {
+        for w in 0..5 {
+            shared.record(&vm(w), &job(n), JobResult::Failed, MonoTime(n));
+            shared.record(&vm(w), &job(format!("ok-{w}-{n}")), JobResult::Done, MonoTime(n));
+        }
+    }
+    assert_eq!(shared.quarantined(), 0, "repeated jobs");
+
+    let mut few_jobs = health(5);
+    for n in 0..40 {
+        few_jobs.record(&vm(1), &job(format!("ok-{n}")), JobResult::Done, MonoTime(n));
+    }
+    for n in 0..6 {
+        few_jobs.record(&vm(1), &job(n), JobResult::Failed, MonoTime(40));
+        few_jobs.record(&vm(0), &job(n), JobResult::Failed, MonoTime(41));
+    }
+    assert_eq!(few_jobs.quarantined(), 0, "a worker that got little but jobs which failed elsewhere too");
+
+    let mut one_job = health(5);
+    for n in 0..20 {
+        one_job.record(&vm(0), &job("same"), JobResult::Failed, MonoTime(n));
+        one_job.record(&vm(1), &job(format!("ok-{n}")), JobResult::Done, MonoTime(n));
+    }
+    assert_eq!(one_job.quarantined(), 0, "one job that is repeated on one worker");
+
+    let mut all_fail = health(5);
+    run_jobs(&mut all_fail, 5, 5, 0);
+    assert_eq!(all_fail.quarantined(), 0, "distinct jobs that fail on every worker");
+}
+
+/// Guards against failures that count for ever.
+#[test]
+fn failures_outside_the_window_do_not_count() {
+    let mut health = health(5);
+    for n in 0..20 {
+        let at = MonoTime(n * 120_000);
+        health.record(&vm(0), &job(format!("a{n}")), JobResult::Failed, at);
+        for k in 0..3 {
+            health.record(&vm(1), &job(format!("b{n}-{k}")), JobResult::Done, at);
+        }
+    }
+    assert_eq!(health.quarantined(), 0, "three failures in each window of 300 s");
+}
+
+/// Guards against a worker that never gets out, or that gets more than one job while on trial.
+#[test]
+fn trial_job_decides_after_sixty_seconds() {
+    for (result, event, verdict) in [
+        (JobResult::Done, HealthEvent::Released, Verdict::Open),
+        (JobResult::Failed, HealthEvent::TrialFailed, Verdict::Closed),
+    ] {
+        let mut health = health(5);
+        run_jobs(&mut health, 5, 1, 0);
+        let since = 3;
+        assert_eq!(health.check(&vm(0), MonoTime(since + 59_000)), Verdict::Closed);
+        assert!(!health.start_trial(&vm(0), &job("t"), MonoTime(since + 59_000)));
+        let now = MonoTime(since + 60_000);
+        assert_eq!(health.check(&vm(0), now), Verdict::Trial);
+        assert!(health.start_trial(&vm(0), &job("t"), now));
+        assert!(!health.start_trial(&vm(0), &job("u"), now), "a second trial job");
+        assert_eq!(health.record(&vm(0), &job("old"), JobResult::Done, now), None, "a job from before the quarantine");
+        assert_eq!(health.check(&vm(0), now), Verdict::Closed);
+        assert_eq!(health.record(&vm(0), &job("t"), result, now), Some(event));
+        assert_eq!(health.check(&vm(0), now), verdict);
+        assert_eq!(health.check(&vm(0), MonoTime(now.0 + 60_000)) == Verdict::Trial, result == JobResult::Failed);
+    }
+}
+
+/// Guards against a trial whose result never comes keeping a worker out.
+#[test]
+fn lost_trial_is_repeated() {
+    let mut health = health(5);
+    run_jobs(&mut health, 5, 1, 0);
+    assert!(health.start_trial(&vm(0), &job("t"), MonoTime(100_000)));
+    assert_eq!(health.check(&vm(0), MonoTime(699_000)), Verdict::Closed);
+    assert_eq!(health.check(&vm(0), MonoTime(700_000)), Verdict::Trial);
+}
+
+/// Guards against quarantined VMs that left the pool using up its limit.
+#[test]
+fn members_that_left_are_forgotten() {
+    let mut health = health(5);
+    run_jobs(&mut health, 5, 1, 0);
+    assert_eq!(health.quarantined(), 1);
+    let members: Vec<_> = (1..6).map(vm).collect();
+    health.set_members(&members);
+    assert_eq!(health.quarantined(), 0);
+    assert_eq!(health.check(&vm(0), MonoTime(20)), Verdict::Closed);
+    assert_eq!(health.check(&vm(5), MonoTime(20)), Verdict::Open);
+}
