--- /dev/null
+++ b/crates/core/tests/freshness.rs
@@ -0,0 +1,309 @@
+//! Cases of the freshness rule.
+
+use carawaybarrow_core::commit::Document;
+use carawaybarrow_core::ids::{DataCentreId, EntryId, Incarnation, Revision};
+use carawaybarrow_core::membership::{
+    Basis, Freshness, Heartbeat, InForceBasis, Members, MembersCommand, MembersRevision, Probe, Process, ReclaimDelay,
+    StaleReason,
+};
+use carawaybarrow_core::units::{Millis, MonoTime, WallTime};
+
+const CURRENT: Probe = Probe::Answered { config_current: true, members_current: true };
+const OUTDATED: Probe = Probe::Answered { config_current: false, members_current: true };
+
+fn entry(number: u64) -> EntryId {
+    EntryId::new(format!("e{number}")).unwrap()
+}
+
+fn join(number: u64, incarnation: u64) -> MembersCommand {
+    let process = Process {
+        incarnation: Incarnation(incarnation),
+        peer_address: "10.0.0.1:7001".parse().unwrap(),
+        client_address: "10.0.0.1:8001".parse().unwrap(),
+        data_centre: DataCentreId::new("dc1").unwrap(),
+        joined_at: WallTime(0),
+    };
+    MembersCommand::Join { entry: entry(number), process }
+}
+
+fn remove(number: u64) -> MembersCommand {
+    MembersCommand::Remove { entry: entry(number), incarnation: Incarnation(1) }
+}
+
+fn three_members() -> Members {
+    let mut members = Members::default();
+    for number in 1..=3 {
+        members.apply(&join(number, 1));
+    }
+    members.apply(&MembersCommand::Settle { revision: MembersRevision(3) });
+    members
+}
+
+/// Entry 1 of three, with configuration 5, after a successful probe at 1 s.
+fn fresh_entry() -> Freshness {
+    let mut freshness = Freshness::new(entry(1), Incarnation(1));
+    freshness.take_members(&three_members(), MonoTime(500));
+    freshness.take_config_revision(Revision(5), MonoTime(500));
+    freshness.take_probe(MonoTime(1_000), CURRENT, MonoTime(1_010));
+    freshness
+}
+
+fn answer(from: u64, config: u64, probe_age: Option<u64>) -> Heartbeat {
+    Heartbeat {
+        entry: entry(from),
+        incarnation: Incarnation(1),
+        config_revision: Revision(config),
+        members_revision: MembersRevision(3),
+        probe_age: probe_age.map(Millis),
+        counts_you: true,
+    }
+}
+
+/// Guards against a probe that counts from its answer, or for longer than 5 s, or shows an older state.
+#[test]
+fn own_probe() {
+    let freshness = fresh_entry();
+    assert_eq!(freshness.is_fresh(MonoTime(6_000)), Ok(Basis::Probe));
+    assert_eq!(freshness.is_fresh(MonoTime(6_001)), Err(StaleReason::NotCurrent));
+
+    let mut outdated = fresh_entry();
+    outdated.take_probe(MonoTime(5_000), OUTDATED, MonoTime(5_010));
+    assert_eq!(outdated.is_fresh(MonoTime(6_001)), Err(StaleReason::NotCurrent));
+
+    let mut removed = fresh_entry();
+    let mut members = three_members();
+    members.apply(&remove(1));
+    removed.take_members(&members, MonoTime(2_000));
+    assert_eq!(removed.is_fresh(MonoTime(2_000)), Err(StaleReason::NotMember));
+}
+
+/// Guards against vouching by a peer that can't vouch, or for longer than 5 s after its probe.
+#[test]
+fn vouching_peer() {
+    let now = 20_000;
+    let table = [
+        ("probe just now", answer(2, 5, Some(0)), now - 5_000, true),
+        ("older configuration of the peer", answer(2, 4, Some(0)), now - 100, true),
+        ("probe and way add up to 5 s", answer(2, 5, Some(4_000)), now - 1_000, true),
+        ("probe and way exceed 5 s", answer(2, 5, Some(4_001)), now - 1_000, false),
+        ("newer configuration", answer(2, 6, Some(0)), now - 100, false),
+        ("not counted as a member", Heartbeat { counts_you: false, ..answer(2, 5, Some(0)) }, now - 100, false),
+        ("store not reached", answer(2, 5, None), now - 100, false),
+        ("not a member", answer(4, 5, Some(0)), now - 100, false),
+        ("former process", Heartbeat { incarnation: Incarnation(9), ..answer(2, 5, Some(0)) }, now - 100, false),
+        ("own answer", answer(1, 5, Some(0)), now - 100, false),
+    ];
+    for (name, answer, sent, fresh) in table {
+        let mut freshness = fresh_entry();
+        freshness.take_answer(answer, MonoTime(sent), MonoTime(now));
+        assert_eq!(freshness.is_fresh(MonoTime(now)).is_ok(), fresh, "{name}");
+    }
+}
+
+/// Guards against evidence that becomes usable only by a pause: the probe of the peer may lie before the start of
+/// this process, which its clock can't express.
+#[test]
+fn probe_before_own_start_keeps_its_age() {
+    let mut freshness = Freshness::new(entry(1), Incarnation(1));
+    freshness.take_members(&three_members(), MonoTime(0));
+    freshness.take_config_revision(Revision(5), MonoTime(0));
+    freshness.take_answer(answer(2, 5, Some(4_900)), MonoTime(50), MonoTime(60));
+    assert!(freshness.is_fresh(MonoTime(150)).is_ok());
+    assert!(freshness.is_fresh(MonoTime(151)).is_err());
+}
+
+/// Guards against a majority that may contain nobody who knows of a withdrawal.
+#[test]
+fn majority_in_an_outage() {
+    let now = 20_000;
+    let lost = Some(Probe::NotReachable);
+    let two = || vec![answer(2, 5, None)];
+    let older_list = Heartbeat { members_revision: MembersRevision(2), ..answer(2, 5, None) };
+    let newer_list = Heartbeat { members_revision: MembersRevision(4), ..answer(3, 5, None) };
+    let not_vouching = Heartbeat { counts_you: false, ..answer(2, 5, None) };
+    let table = [
+        ("majority", lost, two(), Ok(Basis::Majority)),
+        ("own store call answered", Some(OUTDATED), two(), Err(StaleReason::NotCurrent)),
+        ("alone", lost, vec![], Err(StaleReason::NoMajority)),
+        ("older list", lost, vec![older_list], Err(StaleReason::NoMajority)),
+        ("newer list", lost, vec![answer(2, 5, None), newer_list], Err(StaleReason::Behind)),
+        ("not vouching", lost, vec![not_vouching], Err(StaleReason::NoMajority)),
+        ("newer configuration", lost, vec![answer(2, 5, None), answer(3, 6, None)], Err(StaleReason::Behind)),
+        ("a peer reaches the store", lost, vec![answer(2, 5, None), answer(3, 5, Some(9_000))], {
+            Err(StaleReason::NotCurrent)
+        }),
+    ];
+    for (name, probe, answers, expected) in table {
+        let mut freshness = fresh_entry();
+        if let Some(probe) = probe {
+            freshness.take_probe(MonoTime(now - 900), probe, MonoTime(now - 800));
+        }
+        for answer in answers {
+            freshness.take_answer(answer, MonoTime(now - 500), MonoTime(now));
+        }
+        assert_eq!(freshness.is_fresh(MonoTime(now)), expected, "{name}");
+    }
+}
+
+/// Guards against work by a majority without end, and against an extension of the limit by probes that showed a
+/// configuration which this entry doesn't hold.
+#[test]
+fn outage_limit() {
+    let limit = 60_000;
+    let mut freshness = Freshness::new(entry(1), Incarnation(1)).with_outage_limit(Millis(limit));
+    freshness.take_members(&three_members(), MonoTime(0));
+    freshness.take_config_revision(Revision(5), MonoTime(0));
+    freshness.take_probe(MonoTime(1_000), CURRENT, MonoTime(1_000));
+    freshness.take_probe(MonoTime(2_000), Probe::NotReachable, MonoTime(2_000));
+    freshness.take_answer(answer(3, 6, Some(0)), MonoTime(30_000), MonoTime(30_000));
+    for (now, expected) in [(1_000 + limit, Ok(Basis::Majority)), (1_001 + limit, Err(StaleReason::OutageLimit))] {
+        freshness.take_answer(answer(2, 5, None), MonoTime(now), MonoTime(now));
+        assert_eq!(freshness.is_fresh(MonoTime(now)), expected);
+    }
+}
+
+/// Guards against a new process that read an old configuration from a stale replica and takes the place of its
+/// predecessor, which had confirmed a withdrawal.
+#[test]
+fn new_process_vouches_only_after_it_was_current() {
+    let mut freshness = Freshness::new(entry(1), Incarnation(1));
+    freshness.take_members(&three_members(), MonoTime(0));
+    freshness.take_config_revision(Revision(5), MonoTime(0));
+    freshness.take_probe(MonoTime(0), Probe::NotReachable, MonoTime(0));
+    assert!(!freshness.heartbeat(&entry(2), Incarnation(1), MonoTime(1)).counts_you);
+    freshness.take_answer(answer(2, 5, None), MonoTime(1), MonoTime(2));
+    assert_eq!(freshness.is_fresh(MonoTime(2)), Err(StaleReason::NeverCurrent));
+    freshness.take_answer(answer(3, 5, Some(0)), MonoTime(3), MonoTime(4));
+    assert!(freshness.heartbeat(&entry(2), Incarnation(1), MonoTime(5)).counts_you);
+    assert!(!freshness.heartbeat(&entry(2), Incarnation(2), MonoTime(5)).counts_you, "a former process");
+}
+
+/// Guards against entries that know a new member list, but not the configuration that was in force when it was
+/// made, and form a majority of it.
+#[test]
+fn new_member_list_needs_a_new_proof() {
+    let mut freshness = fresh_entry();
+    assert!(freshness.heartbeat(&entry(2), Incarnation(1), MonoTime(1_100)).counts_you);
+    let mut members = three_members();
+    members.apply(&remove(3));
+    freshness.take_members(&members, MonoTime(1_200));
+    let heartbeat = freshness.heartbeat(&entry(2), Incarnation(1), MonoTime(1_300));
+    assert!(!heartbeat.counts_you);
+    assert_eq!(heartbeat.probe_age, None);
+    freshness.take_probe(MonoTime(1_400), CURRENT, MonoTime(1_410));
+    let heartbeat = freshness.heartbeat(&entry(2), Incarnation(1), MonoTime(1_500));
+    assert!(heartbeat.counts_you);
+    assert_eq!(heartbeat.probe_age, Some(Millis(100)));
+}
+
+/// Guards against a change called in force while an entry may still use the configuration before it.
+#[test]
+fn change_in_force() {
+    let mut freshness = fresh_entry();
+    freshness.take_config_revision(Revision(6), MonoTime(2_000));
+    freshness.take_heartbeat(&answer(2, 6, Some(0)), MonoTime(2_500));
+    let in_force = |f: &Freshness, now| f.confirmations().is_in_force(Revision(6), MonoTime(now));
+    assert_eq!(in_force(&freshness, 60_000).confirmed, None, "no probe since the change");
+    freshness.take_probe(MonoTime(3_000), CURRENT, MonoTime(3_010));
+    let waiting = in_force(&freshness, 7_549);
+    assert_eq!((waiting.confirmed, waiting.outstanding), (None, vec![entry(3)]));
+    let majority = in_force(&freshness, 7_550);
+    assert_eq!((majority.confirmed, majority.outstanding), (Some(InForceBasis::Majority), vec![entry(3)]));
+
+    freshness.take_heartbeat(&answer(3, 6, None), MonoTime(3_100));
+    let everyone = in_force(&freshness, 3_100);
+    assert_eq!((everyone.confirmed, everyone.outstanding), (Some(InForceBasis::Everyone), vec![]));
+}
+
+/// Guards against a majority of a shortened list: the members that were removed may be a majority of the earlier
+/// list that can't be reached, and go on by case (c).
+#[test]
+fn removed_members_still_count_until_the_removal_is_confirmed() {
+    let mut members = Members::default();
+    for number in 1..=5 {
+        members.apply(&join(number, 1));
+    }
+    members.apply(&MembersCommand::Settle { revision: MembersRevision(5) });
+    let mut freshness = Freshness::new(entry(1), Incarnation(1));
+    freshness.take_members(&members, MonoTime(0));
+    for number in 3..=5 {
+        members.apply(&remove(number));
+    }
+    freshness.take_members(&members, MonoTime(1_000));
+    freshness.take_config_revision(Revision(6), MonoTime(1_000));
+    freshness.take_probe(MonoTime(2_000), CURRENT, MonoTime(2_010));
+    let peer = Heartbeat { members_revision: MembersRevision(8), ..answer(2, 6, Some(0)) };
+    freshness.take_heartbeat(&peer, MonoTime(2_500));
+    let in_force = freshness.confirmations().is_in_force(Revision(6), MonoTime(60_000));
+    assert_eq!((in_force.confirmed, in_force.outstanding.len()), (None, 3));
+    let reclaim = |f: &Freshness, now| f.confirmations().may_reclaim(&entry(3), Incarnation(1), MonoTime(now));
+    assert_eq!(reclaim(&freshness, 60_000), Err(ReclaimDelay::Unconfirmed));
+
+    let confirmed = Heartbeat { members_revision: MembersRevision(8), ..answer(3, 6, Some(0)) };
+    freshness.take_heartbeat(&confirmed, MonoTime(70_000));
+    let in_force = |now| freshness.confirmations().is_in_force(Revision(6), MonoTime(now)).confirmed;
+    assert_eq!(in_force(75_049), None);
+    assert_eq!(in_force(75_050), Some(InForceBasis::Majority));
+    assert_eq!(freshness.confirmations().find_settled(MonoTime(75_050)), Some(MembersRevision(8)));
+    assert_eq!(reclaim(&freshness, 79_999), Err(ReclaimDelay::Unconfirmed));
+    assert_eq!(reclaim(&freshness, 80_000), Ok(()));
+}
+
+/// Guards against a reclaim of the permits of a process that may still run, and against one that never comes.
+#[test]
+fn reclaim_delays() {
+    let mut members = three_members();
+    members.apply(&remove(3));
+    members.apply(&join(2, 2));
+    let mut freshness = Freshness::new(entry(1), Incarnation(1)).with_outage_limit(Millis(100_000));
+    freshness.take_members(&members, MonoTime(1_000));
+    let reclaim =
+        |f: &Freshness, number, now| f.confirmations().may_reclaim(&entry(number), Incarnation(1), MonoTime(now));
+    assert_eq!(reclaim(&freshness, 1, 99_000), Err(ReclaimDelay::NotDeparted));
+    assert_eq!(reclaim(&freshness, 2, 10_999), Err(ReclaimDelay::Unconfirmed));
+    assert_eq!(reclaim(&freshness, 2, 11_000), Ok(()), "replaced, so it doesn't run any more");
+
+    let mut members = three_members();
+    members.apply(&remove(2));
+    members.apply(&remove(3));
+    let mut refused = Freshness::new(entry(1), Incarnation(1)).with_outage_limit(Millis(100_000));
+    refused.take_members(&members, MonoTime(1_000));
+    refused.confirmations_mut().take_refused(&entry(3), Incarnation(1), MonoTime(20_000));
+    assert_eq!(reclaim(&refused, 3, 29_999), Err(ReclaimDelay::Unconfirmed));
+    assert_eq!(reclaim(&refused, 3, 30_000), Ok(()), "its address refuses connections");
+    assert_eq!(reclaim(&refused, 2, 30_000), Ok(()), "no other process can vouch for it");
+
+    let mut refused = Freshness::new(entry(1), Incarnation(1)).with_outage_limit(Millis(100_000));
+    refused.take_members(&members, MonoTime(1_000));
+    // The outage limit with one per cent for the clocks, and 10 s.
+    assert_eq!(reclaim(&refused, 2, 111_999), Err(ReclaimDelay::Unconfirmed));
+    assert_eq!(reclaim(&refused, 2, 112_000), Ok(()), "after the outage limit");
+}
+
+/// Guards against the removal of all peers by an entry that was itself paused.
+#[test]
+fn silent_members() {
+    let mut freshness = fresh_entry();
+    for second in 1..=40 {
+        let now = MonoTime(second * 1_000);
+        freshness.take_probe(now, CURRENT, now);
+        freshness.take_heartbeat(&answer(2, 5, Some(0)), now);
+    }
+    assert_eq!(freshness.find_silent(MonoTime(40_000)), [(entry(3), Incarnation(1))]);
+
+    let resumed = MonoTime(400_000);
+    freshness.take_probe(resumed, CURRENT, resumed);
+    freshness.take_heartbeat(&answer(2, 5, Some(0)), resumed);
+    assert_eq!(freshness.find_silent(resumed), []);
+    assert_eq!(freshness.find_silent(MonoTime(500_000)), [], "this entry isn't fresh by its own probe");
+}
+
+/// Guards against a change of the wire form, which entries of two versions share.
+#[test]
+fn heartbeat_wire_form() {
+    let text =
+        r#"{"entry":"e2","incarnation":1,"config_revision":5,"members_revision":3,"probe_age":null,"counts_you":true}"#;
+    let heartbeat = answer(2, 5, None);
+    assert_eq!(serde_json::to_string(&heartbeat).unwrap(), text);
+    assert_eq!(serde_json::from_str::<Heartbeat>(text).unwrap(), heartbeat);
+}
