Fill pools to a baseline with new VMs

Cause: all new VMs joined the spare pool, so a new installation had empty pools until moves, which rest 300 s each, had filled them one by one; operators name no VMs and could not place them. Change: config::Pool::baseline; the planner registers new VMs with the pool furthest below its baseline. Result: planner and health tests pass, with one new test; before, it registered all four VMs as spare. Conclusion: an installation starts with the pool sizes that its operators declared.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -90,6 +90,9 @@
 pub struct Pool {
     /// Part of the pool's VMs that must be available at any time.
     pub min_available: Percent,
+    /// Number of VMs that the pool gets first when new VMs appear; further ones go to the spare pool.
+    #[serde(default)]
+    pub baseline: u32,
     /// Whether its VMs are spare and may be lent to other pools.
     #[serde(default)]
     pub spare: bool,
--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -175,7 +175,12 @@
         Some(HealthEvent::Quarantined)
     }
 
-    /// Workers in quarantine.
+    /// VMs of the workers in quarantine.
+    pub fn list_quarantined(&self) -> impl Iterator<Item = &VmId> {
+        self.workers.iter().filter(|(_, w)| w.quarantine.is_some()).map(|(id, _)| id)
+    }
+
+    /// Number of workers in quarantine.
     #[must_use]
     pub fn quarantined(&self) -> usize {
         self.workers.values().filter(|w| w.quarantine.is_some()).count()
--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -7,7 +7,7 @@
 
 use smol_str::SmolStr;
 
-use crate::config::Config;
+use crate::config::{Config, Pool};
 use crate::draft::Draft;
 use crate::fleet::{Basis, Cause, Fleet, FleetCommand, Permit, Place, Vm, VmState};
 use crate::ids::{DataCentreId, Incarnation, OperatorId, PoolId, RackId, VmId};
@@ -185,8 +185,6 @@
     for listed in &seen.list {
         *by_address.entry(&listed.address).or_default() += 1;
     }
-    // Operators place VMs in other pools; a new VM without a spare pool waits for an operator.
-    let spare = config.pools.iter().find(|(_, p)| p.value.spare).map(|(id, _)| id.clone());
     for listed in seen.list.iter().filter(|l| l.state == ListedState::Live && by_address[&*l.address] == 1) {
         let Some(Report::Up { incarnation, .. }) = seen.reports.get(&listed.vm) else { continue };
         let is_known = |vm: &Vm| {
@@ -209,12 +207,29 @@
         };
         let named = draft.fleet().vm(&listed.vm).map(|vm| (listed.vm.clone(), vm.clone()));
         let record = named.or_else(|| at_address(draft.fleet()));
-        let Some(pool) = record.as_ref().map(|(_, vm)| vm.pool.clone()).or_else(|| spare.clone()) else { continue };
+        let Some(pool) =
+            record.as_ref().map(|(_, vm)| vm.pool.clone()).or_else(|| find_first_pool(draft.fleet(), config))
+        else {
+            continue;
+        };
         let (key, expect) = record.map_or_else(|| (listed.vm.clone(), None), |(id, vm)| (id, Some(vm.version)));
         draft.add_for(&key, FleetCommand::Register { vm: listed.vm.clone(), expect, place, pool, at: now });
     }
 }
 
+/// Pool of a new VM: the one furthest below its baseline, or else the spare pool.
+fn find_first_pool(fleet: &Fleet, config: &Config) -> Option<PoolId> {
+    let missing = |id: &PoolId, pool: &Pool| pool.baseline.saturating_sub(fleet.availability(id).size);
+    let furthest = config
+        .pools
+        .iter()
+        .map(|(id, pool)| (missing(id, &pool.value), id))
+        .filter(|(missing, _)| *missing > 0)
+        .max_by_key(|(missing, id)| (*missing, std::cmp::Reverse(*id)));
+    let spare = || config.pools.iter().find(|(_, p)| p.value.spare).map(|(id, _)| id);
+    furthest.map(|(_, id)| id).or_else(spare).cloned()
+}
+
 /// Next step of a VM, from its state and what is seen of it.
 fn plan_vm(
     id: &VmId,
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -272,13 +272,7 @@
     }
 
     /// Keeps a slot lease for reuse. Returns it if the endpoint takes no work.
-    pub fn put_idle_lease(
-        &mut self,
-        vm: &VmId,
-        lease: LeaseId,
-        expires: MonoTime,
-        now: MonoTime,
-    ) -> Option<LeaseId> {
+    pub fn put_idle_lease(&mut self, vm: &VmId, lease: LeaseId, expires: MonoTime, now: MonoTime) -> Option<LeaseId> {
         match self.endpoints.get_mut(vm) {
             Some(endpoint) if endpoint.state == State::Serving => {
                 endpoint.idle.push(IdleLease { lease, expires, since: now });
--- a/crates/core/tests/fleet_support/mod.rs
+++ b/crates/core/tests/fleet_support/mod.rs
@@ -29,7 +29,8 @@
 
 pub fn pool(min_available: u8, spare: bool, windows: &[(u64, u64)]) -> Pool {
     let windows = windows.iter().map(|(from, to)| Window { from: WallTime(*from), to: WallTime(*to) });
-    Pool { min_available: Percent::new(min_available).unwrap(), spare, deadline_windows: windows.collect() }
+    let min_available = Percent::new(min_available).unwrap();
+    Pool { min_available, baseline: 0, spare, deadline_windows: windows.collect() }
 }
 
 pub fn set_pool(config: &mut Config, name: &str, value: Pool) {
--- a/crates/core/tests/planner.rs
+++ b/crates/core/tests/planner.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 
 use carawaybarrow_core::commit::Document;
+use carawaybarrow_core::config;
 use carawaybarrow_core::fleet::{Cause, Fleet, FleetCommand, FleetOutcome, VmState};
 use carawaybarrow_core::ids::{DataCentreId, RackId, VmId};
 use carawaybarrow_core::moves::{DemandMeter, DemandSample, PoolDemand};
@@ -221,6 +222,35 @@
     );
 }
 
+/// Guards against pools without VMs at the start: operators name no VMs, so new ones fill the pools to their baselines.
+#[test]
+fn new_vms_fill_pools_to_their_baseline_first() {
+    let mut bench = Bench::new(50, &[2]);
+    set_pool(&mut bench.config, "fresh", config::Pool { baseline: 2, ..pool(50, false, &[]) });
+    let mut seen = observe(&bench.fleet);
+    for i in 0..4 {
+        seen.list.push(ListedVm {
+            vm: vm_id(&format!("n{i}")),
+            address: format!("addr-n{i}").into(),
+            data_centre: DataCentreId::new("dc0").unwrap(),
+            rack: RackId::new("r0").unwrap(),
+            state: ListedState::Live,
+        });
+        let report = Report::Up { since: NOW, incarnation: Default::default(), draining: false, tasks: 0 };
+        seen.reports.insert(vm_id(&format!("n{i}")), report);
+    }
+    let commands = planner::plan(&bench.fleet, &seen, &bench.config, NOW);
+    let pools: Vec<_> = commands
+        .iter()
+        .filter_map(|c| match c {
+            FleetCommand::Register { pool, .. } => Some(pool.as_str()),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(pools, ["fresh", "fresh", "spare", "spare"]);
+    assert_accepted(&bench.fleet, &commands);
+}
+
 /// Guards against moves on short spikes, too soon after the last one, from the wrong pool or in a deadline window.
 #[test]
 fn moves_follow_lasting_demand() {
