--- /dev/null
+++ b/crates/carawaybarrow/src/admin.rs
@@ -0,0 +1,239 @@
+//! HTTP interface for operators.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use carawaybarrow_core::config::{Change, ConfigCommand, ConfigOutcome};
+use carawaybarrow_core::finding::Findings;
+use carawaybarrow_core::fleet::{FleetCommand, FleetOutcome};
+use carawaybarrow_core::ids::{JobId, OperatorId, Revision};
+use carawaybarrow_core::journal::{JobCommand, JobOutcome, Resolution};
+use carawaybarrow_core::units::Millis;
+use serde::Deserialize;
+use serde_json::json;
+use tide::{Response, StatusCode};
+
+use crate::entry::Entry;
+use crate::front::{self, HttpRequest};
+use crate::store::CommitError;
+
+/// Time for which an operator's request waits until a change is in force at all entries.
+const IN_FORCE_WAIT: Millis = Millis(8_000);
+
+/// Interval at which a waiting request looks whether the change is in force.
+const IN_FORCE_POLL: Duration = Duration::from_millis(50);
+
+/// Most drains of a wave whose operator sets no number.
+const DEFAULT_WAVE_SIZE: u32 = u32::MAX;
+
+/// A change that an operator asks for.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ChangeBody {
+    #[serde(default)]
+    expected: Option<Revision>,
+    change: Change,
+}
+
+/// A request about the maintenance of VMs.
+#[derive(Debug, Deserialize)]
+#[serde(tag = "command", rename_all = "snake_case", deny_unknown_fields)]
+enum WaveRequest {
+    Start {
+        #[serde(default)]
+        most: Option<u32>,
+    },
+    Pause,
+    Resume,
+    Stop {
+        reason: String,
+    },
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ResolveBody {
+    found: Resolution,
+}
+
+/// Adds the routes for operators.
+pub fn add_routes(app: &mut tide::Server<Arc<Entry>>) {
+    app.at("/v1/config").get(|req: HttpRequest| async move {
+        let Some(_) = find_operator(&req) else { return Ok(refuse_operator()) };
+        Ok(front::respond(StatusCode::Ok, &req.state().holder.config().config))
+    });
+    app.at("/v1/config/changes").post(change_config);
+    app.at("/v1/fleet").get(|req: HttpRequest| async move {
+        let Some(_) = find_operator(&req) else { return Ok(refuse_operator()) };
+        Ok(front::respond(StatusCode::Ok, &req.state().fleet.document()))
+    });
+    app.at("/v1/fleet/commands").post(change_wave);
+    app.at("/v1/jobs/:id/resolve").post(resolve_job);
+    app.at("/v1/status").get(show_status);
+    app.at("/v1/reports/burn").get(report_burn);
+}
+
+/// The operator whose key came with a request.
+fn find_operator(req: &HttpRequest) -> Option<OperatorId> {
+    let key = front::read_key(req)?;
+    req.state().settings.operators.iter().find(|o| o.key_sha256 == key).map(|o| o.name.clone())
+}
+
+fn refuse_operator() -> Response {
+    let mut errors = Findings::new();
+    errors.add("authorization", "no operator has this key");
+    front::respond(StatusCode::Unauthorized, &json!({ "errors": errors }))
+}
+
+/// The answer to a change that was not confirmed by the store.
+fn describe_commit_error(error: CommitError) -> Response {
+    let (status, written) = match error {
+        CommitError::NotWritten { .. } => (StatusCode::ServiceUnavailable, "no"),
+        CommitError::Unknown => (StatusCode::GatewayTimeout, "unknown"),
+    };
+    let errors = [json!({ "place": "store", "message": error.to_string() })];
+    front::respond(status, &json!({ "written": written, "errors": errors }))
+}
+
+async fn change_config(mut req: HttpRequest) -> tide::Result {
+    let Some(by) = find_operator(&req) else { return Ok(refuse_operator()) };
+    let entry = Arc::clone(req.state());
+    let body = match front::read_json::<ChangeBody>(&mut req).await {
+        Ok(body) => body,
+        Err(res) => return Ok(res),
+    };
+    let command = ConfigCommand { by, at: entry.clock.wall(), expected: body.expected, change: body.change };
+    Ok(match entry.change_config(command).await {
+        Ok(ConfigOutcome::Accepted { revision }) => describe_accepted(&entry, revision).await,
+        Ok(outcome @ ConfigOutcome::Conflict { .. }) => front::respond(StatusCode::Conflict, &outcome),
+        Ok(outcome @ ConfigOutcome::Invalid { .. }) => front::respond(StatusCode::UnprocessableEntity, &outcome),
+        Err(e) => describe_commit_error(e),
+    })
+}
+
+/// Waits until an accepted change is in force, and says which entries are outstanding if that takes too long.
+async fn describe_accepted(entry: &Arc<Entry>, revision: Revision) -> Response {
+    let started = entry.clock.now();
+    // Only a probe after the change shows that this entry knows all members to wait for.
+    entry.probe().await;
+    loop {
+        // Peers learn of the change by the heartbeat and confirm it by the answer to a later one.
+        entry.heartbeat_all().await;
+        task::sleep(IN_FORCE_POLL).await;
+        let now = entry.clock.now();
+        let in_force = entry.freshness().confirmations().is_in_force(revision, now);
+        let waited = now.since(started);
+        if in_force.confirmed.is_some() || waited >= IN_FORCE_WAIT {
+            let body = json!({
+                "outcome": "accepted",
+                "revision": revision,
+                "in_force": in_force.confirmed.is_some(),
+                "outstanding": in_force.outstanding,
+                "waited_ms": waited,
+            });
+            return front::respond(StatusCode::Ok, &body);
+        }
+    }
+}
+
+async fn change_wave(mut req: HttpRequest) -> tide::Result {
+    let Some(by) = find_operator(&req) else { return Ok(refuse_operator()) };
+    let entry = Arc::clone(req.state());
+    let request = match front::read_json::<WaveRequest>(&mut req).await {
+        Ok(request) => request,
+        Err(res) => return Ok(res),
+    };
+    let Some(command) = build_wave_command(&entry, request, by) else {
+        let errors = [json!({ "place": "wave", "message": "there is no wave" })];
+        return Ok(front::respond(StatusCode::Conflict, &json!({ "errors": errors })));
+    };
+    Ok(match entry.change_fleet(vec![command]).await.as_deref() {
+        Ok([FleetOutcome::Applied | FleetOutcome::Unchanged]) => {
+            front::respond(StatusCode::Ok, &json!({ "wave": entry.fleet.document().wave() }))
+        }
+        Ok(outcomes) => front::respond(StatusCode::Conflict, &json!({ "outcomes": outcomes })),
+        Err(e) => describe_commit_error(*e),
+    })
+}
+
+fn build_wave_command(entry: &Entry, request: WaveRequest, by: OperatorId) -> Option<FleetCommand> {
+    let document = entry.fleet.document();
+    let current = document.wave();
+    let at = entry.clock.wall();
+    Some(match request {
+        WaveRequest::Start { most } => FleetCommand::StartWave {
+            replaces: current.map(|w| w.id),
+            cutoff: at,
+            most: most.unwrap_or(DEFAULT_WAVE_SIZE),
+            by,
+            at,
+        },
+        WaveRequest::Pause => FleetCommand::PauseWave { wave: current?.id, by },
+        WaveRequest::Resume => {
+            let wave = current?;
+            FleetCommand::ResumeWave { wave: wave.id, expect: wave.phase_changes, by }
+        }
+        WaveRequest::Stop { reason } => FleetCommand::StopWave { wave: current?.id, reason, by },
+    })
+}
+
+async fn resolve_job(mut req: HttpRequest) -> tide::Result {
+    let Some(by) = find_operator(&req) else { return Ok(refuse_operator()) };
+    let entry = Arc::clone(req.state());
+    let body = match front::read_json::<ResolveBody>(&mut req).await {
+        Ok(body) => body,
+        Err(res) => return Ok(res),
+    };
+    let Ok(job) = req.param("id").unwrap_or_default().parse::<JobId>() else {
+        let errors = [json!({ "place": "job", "message": "there is no such job" })];
+        return Ok(front::respond(StatusCode::NotFound, &json!({ "errors": errors })));
+    };
+    let command = JobCommand::Resolve { job: job.clone(), by, found: body.found, at: entry.clock.wall() };
+    Ok(match entry.submit(entry.shards.of_job(&job), vec![command]).await.as_deref() {
+        Ok([JobOutcome::Ended { view } | JobOutcome::AlreadyThere { view }]) => {
+            front::respond(StatusCode::Ok, &json!({ "job": job, "state": view.state, "ran": view.ran }))
+        }
+        Ok(outcomes) => front::respond(StatusCode::Conflict, &json!({ "outcomes": outcomes })),
+        Err(e) => front::respond(
+            StatusCode::ServiceUnavailable,
+            &json!({ "errors": [{ "place": "store", "message": e.to_string() }] }),
+        ),
+    })
+}
+
+async fn show_status(req: HttpRequest) -> tide::Result {
+    let Some(_) = find_operator(&req) else { return Ok(refuse_operator()) };
+    let entry = req.state();
+    let now = entry.clock.now();
+    let freshness = match entry.freshness().is_fresh(now) {
+        Ok(basis) => format!("{basis:?}"),
+        Err(reason) => reason.to_string(),
+    };
+    let members = entry.holder.members();
+    let waiting: Vec<_> = {
+        let dispatch = entry.dispatch();
+        let count =
+            |(pool, queue): (_, &carawaybarrow_core::queue::ReadyQueue)| json!({ "pool": pool, "jobs": queue.len() });
+        dispatch.queues.iter().map(count).collect()
+    };
+    let body = json!({
+        "entry": entry.settings.entry,
+        "incarnation": entry.incarnation.to_string(),
+        "revision": entry.holder.config().config.revision,
+        "fresh": entry.is_fresh(),
+        "freshness": freshness,
+        "store_reachable": entry.is_store_reachable(),
+        "members": members.members.current.keys().collect::<Vec<_>>(),
+        "shards": entry.shards.owned(),
+        "waiting": waiting,
+    });
+    Ok(front::respond(StatusCode::Ok, &body))
+}
+
+async fn report_burn(req: HttpRequest) -> tide::Result {
+    let Some(_) = find_operator(&req) else { return Ok(refuse_operator()) };
+    let entry = req.state();
+    let report = entry.dispatch().burn.report(carawaybarrow_core::burn::DEFAULT_BUDGET_PER_MILLE, entry.clock.wall());
+    Ok(front::respond(StatusCode::Ok, &report))
+}
--- /dev/null
+++ b/crates/carawaybarrow/src/fleet_sync.rs
@@ -0,0 +1,375 @@
+//! VM records, reports of workers, and the duties of the planner.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_std::task;
+use carawaybarrow_core::Map;
+use carawaybarrow_core::commit::{Commit, Document};
+use carawaybarrow_core::fleet::{Fleet, FleetCommand, FleetOutcome, VmState};
+use carawaybarrow_core::ids::{Incarnation, PoolId, StoreVersion, TeamId, VmId};
+use carawaybarrow_core::job::Size;
+use carawaybarrow_core::moves::{DemandMeter, DemandSample};
+use carawaybarrow_core::planner::{self, ListedState, Observations, Report};
+use carawaybarrow_core::queue::Kind;
+use carawaybarrow_core::routing::{Listed, State};
+use carawaybarrow_core::units::WallTime;
+use smol_str::SmolStr;
+
+use crate::entry::Entry;
+use crate::store::{self, CommitError, Committed};
+use crate::vm_list::{ListedVm, VmState as ListedVmState};
+use crate::worker::{Status, WorkerRequest};
+
+/// Store key of the VM records. There is one fleet group today.
+pub const FLEET_KEY: &str = "fleet/main";
+
+/// Time that one watch waits at the store.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+
+/// Pause after a failed watch.
+const WATCH_PAUSE: Duration = Duration::from_millis(500);
+
+/// Interval at which each worker's status is read. Together with the delay of an answer it stays within the few
+/// seconds in which a drain has to be noticed.
+const POLL_INTERVAL: Duration = Duration::from_millis(1_500);
+
+/// Interval of the planner.
+const PLAN_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// What was last seen of a worker.
+#[derive(Clone, Debug)]
+struct Seen {
+    report: Report,
+    status: Option<Status>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    document: Fleet,
+    version: StoreVersion,
+    list: Vec<ListedVm>,
+    seen: Map<VmId, Seen>,
+    demand: Map<PoolId, DemandMeter>,
+}
+
+/// VM records and reports as this entry knows them.
+#[derive(Debug, Default)]
+pub struct FleetState {
+    inner: Mutex<Inner>,
+}
+
+impl FleetState {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The VM records.
+    #[must_use]
+    pub fn document(&self) -> Fleet {
+        self.lock().document.clone()
+    }
+
+    /// Address of the worker on a VM.
+    #[must_use]
+    pub fn find_address(&self, vm: &VmId) -> Option<SocketAddr> {
+        let inner = self.lock();
+        let recorded = inner.document.vm(vm).and_then(|v| v.place.address.parse().ok());
+        recorded.or_else(|| inner.list.iter().find(|listed| listed.vm == *vm).map(|listed| listed.address))
+    }
+
+    /// Running tasks by team that the workers last reported under the leases of a holder.
+    #[must_use]
+    pub fn count_tasks(&self, holder: &str) -> BTreeMap<TeamId, u32> {
+        let inner = self.lock();
+        let tasks = inner.seen.values().filter_map(|seen| seen.status.as_ref()).flat_map(|status| &status.tasks);
+        let mut counts = BTreeMap::new();
+        for team in tasks.filter(|task| task.entry == holder).filter_map(|task| task.team.clone()) {
+            *counts.entry(team).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Size of the largest worker of each pool, as far as workers have reported theirs.
+    #[must_use]
+    pub fn largest_workers(&self) -> Map<PoolId, Size> {
+        let inner = self.lock();
+        let mut largest: Map<PoolId, Size> = Map::default();
+        for (id, vm) in inner.document.vms() {
+            let Some(size) = inner.seen.get(id).and_then(|s| s.status.as_ref()).and_then(|s| s.size) else { continue };
+            let most = largest.entry(vm.pool.clone()).or_default();
+            most.cores = most.cores.max(size.cores);
+            most.memory_mb = most.memory_mb.max(size.memory_mb);
+            most.accelerators = most.accelerators.max(size.accelerators);
+        }
+        largest
+    }
+
+    fn take_document(&self, document: Fleet, version: StoreVersion) -> bool {
+        let mut inner = self.lock();
+        if version <= inner.version {
+            return false;
+        }
+        inner.document = document;
+        inner.version = version;
+        true
+    }
+
+    /// VMs to ask for their status: the recorded and the listed ones.
+    fn targets(&self) -> Vec<(VmId, SocketAddr)> {
+        let inner = self.lock();
+        let recorded = inner.document.vms().filter_map(|(id, vm)| Some((id.clone(), vm.place.address.parse().ok()?)));
+        let mut targets: BTreeMap<VmId, SocketAddr> = recorded.collect();
+        for listed in &inner.list {
+            targets.insert(listed.vm.clone(), listed.address);
+        }
+        targets.into_iter().collect()
+    }
+
+    fn take_status(&self, vm: &VmId, status: Option<Status>, at: WallTime) {
+        let mut inner = self.lock();
+        let before = inner.seen.get(vm).map(|seen| seen.report);
+        let report = match &status {
+            Some(status) => {
+                let since = match before {
+                    Some(Report::Up { since, incarnation, .. }) if incarnation == status.incarnation => since,
+                    _ => at,
+                };
+                // More tasks than a u32 holds can't run on a worker.
+                let tasks = u32::try_from(status.tasks.len()).unwrap_or(u32::MAX);
+                Report::Up { since, incarnation: status.incarnation, draining: status.draining, tasks }
+            }
+            None => match before {
+                Some(Report::Down { since }) => Report::Down { since },
+                _ => Report::Down { since: at },
+            },
+        };
+        // The last known tasks of an unreachable worker still count against their teams' permits.
+        let status = status.or_else(|| inner.seen.get(vm).and_then(|seen| seen.status.clone()));
+        inner.seen.insert(vm.clone(), Seen { report, status });
+    }
+
+    fn observe(&self) -> Observations {
+        let inner = self.lock();
+        let list = inner.list.iter().map(to_planner).collect();
+        let reports = inner.seen.iter().map(|(vm, seen)| (vm.clone(), seen.report)).collect();
+        let demand = inner.demand.iter().map(|(pool, meter)| (pool.clone(), meter.demand())).collect();
+        Observations { list, reports, demand }
+    }
+}
+
+fn to_planner(listed: &ListedVm) -> planner::ListedVm {
+    planner::ListedVm {
+        vm: listed.vm.clone(),
+        address: SmolStr::new(listed.address.to_string()),
+        data_centre: listed.data_centre.clone(),
+        rack: listed.rack.clone(),
+        state: match listed.state {
+            ListedVmState::Live => ListedState::Live,
+            ListedVmState::Leaving => ListedState::Leaving,
+        },
+    }
+}
+
+impl Entry {
+    /// Keeps the VM records current by a watch.
+    pub async fn watch_fleet(self: Arc<Self>) {
+        loop {
+            let after = self.fleet.lock().version;
+            match self.store.watch(FLEET_KEY, after, WATCH_WAIT).await {
+                Ok(Some(stored)) => match Fleet::decode(&stored.bytes) {
+                    Ok(document) => self.take_fleet(document, stored.version),
+                    Err(e) => {
+                        log::error!(error:% = e; "the stored VM records can't be read");
+                        task::sleep(WATCH_PAUSE).await;
+                    }
+                },
+                Ok(None) => {}
+                Err(_) => task::sleep(WATCH_PAUSE).await,
+            }
+        }
+    }
+
+    fn take_fleet(self: &Arc<Self>, document: Fleet, version: StoreVersion) {
+        let before = self.fleet.document();
+        if !self.fleet.take_document(document.clone(), version) {
+            return;
+        }
+        for (id, _) in before.vms().filter(|(id, _)| document.vm(id).is_none()) {
+            self.dispatch().endpoints.remove(id, self.clock.now());
+        }
+        let now = self.clock.now();
+        for (id, vm) in document.vms() {
+            let listed = Listed {
+                vm: id.clone(),
+                pool: vm.pool.clone(),
+                address: vm.place.address.clone(),
+                data_centre: vm.place.data_centre.clone(),
+            };
+            let stale = self.dispatch().endpoints.list(listed);
+            for lease in stale {
+                self.release_lease(&lease);
+            }
+            let served = before.vm(id).is_some_and(|b| b.state == VmState::Serving);
+            match vm.state {
+                VmState::Serving if !served => {
+                    self.dispatch().endpoints.return_to_service(id, vm.place.incarnation, now);
+                }
+                VmState::Serving => {}
+                VmState::Failed => self.mark_endpoint(id, State::Failed),
+                VmState::Draining | VmState::Drained | VmState::Rebooting => self.mark_endpoint(id, State::Draining),
+            }
+        }
+        self.refresh_pools(&document);
+        self.dispatch_all();
+    }
+
+    fn refresh_pools(&self, document: &Fleet) {
+        let mut members: Map<PoolId, Vec<VmId>> = Map::default();
+        for (id, vm) in document.vms() {
+            members.entry(vm.pool.clone()).or_default().push(id.clone());
+        }
+        let mut dispatch = self.dispatch();
+        for (pool, vms) in &members {
+            dispatch.health.entry(pool.clone()).or_default().set_members(vms);
+        }
+    }
+
+    /// Reads the VM list and the status of all workers at intervals.
+    pub async fn poll_workers(self: Arc<Self>) {
+        loop {
+            if let Some(list) = self.vm_list.list().await {
+                for leaving in list.iter().filter(|listed| listed.state == ListedVmState::Leaving) {
+                    self.mark_endpoint(&leaving.vm, State::Leaving);
+                }
+                self.fleet.lock().list = list;
+            }
+            let targets = self.fleet.targets();
+            // The questions are spread over the interval, so that the answers don't arrive in one burst.
+            let pause = POLL_INTERVAL / u32::try_from(targets.len().max(1)).unwrap_or(u32::MAX);
+            for (vm, address) in targets {
+                task::spawn(Arc::clone(&self).poll_worker(vm, address));
+                task::sleep(pause).await;
+            }
+            if self.fleet.targets().is_empty() {
+                task::sleep(PLAN_INTERVAL).await;
+            }
+        }
+    }
+
+    async fn poll_worker(self: Arc<Self>, vm: VmId, address: SocketAddr) {
+        let asked_at = self.clock.now();
+        let status = self.workers.status(address).await;
+        self.fleet.take_status(&vm, status.clone(), self.clock.wall());
+        let Some(status) = status else { return };
+        let seen = carawaybarrow_core::routing::Status {
+            asked_at,
+            incarnation: status.incarnation,
+            slots: status.slots,
+            free: status.free,
+            draining: status.draining,
+        };
+        let leases = self.dispatch().endpoints.take_status(&vm, &seen);
+        for lease in leases {
+            self.release_lease(&lease);
+        }
+    }
+
+    /// Commits commands to the VM records.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store can't be reached, or did not tell whether the commands took effect.
+    pub async fn change_fleet(self: &Arc<Self>, commands: Vec<FleetCommand>) -> Result<Vec<FleetOutcome>, CommitError> {
+        let (version, document) = {
+            let inner = self.fleet.lock();
+            (inner.version, inner.document.clone())
+        };
+        let mut commit = Commit::<Fleet>::new(self.new_change_id(), commands);
+        if version > StoreVersion(0) {
+            commit = commit.with_base(version, document);
+        }
+        let Committed { outcomes, version, document } = store::run_commit(&*self.store, FLEET_KEY, commit).await?;
+        self.take_fleet(document, version);
+        Ok(outcomes)
+    }
+
+    /// Plans waves and moves while this entry has the duty to.
+    pub async fn plan_fleet(self: Arc<Self>) {
+        loop {
+            task::sleep(PLAN_INTERVAL).await;
+            self.measure_demand();
+            if self.has_duty() && self.is_store_reachable() {
+                self.plan_once().await;
+                self.instruct_workers();
+            }
+        }
+    }
+
+    async fn plan_once(self: &Arc<Self>) {
+        let (document, seen) = (self.fleet.document(), self.fleet.observe());
+        let held = self.holder.config();
+        let commands = planner::plan(&document, &seen, &held.config, self.clock.wall());
+        if commands.is_empty() {
+            return;
+        }
+        let count = commands.len();
+        match self.change_fleet(commands).await {
+            Ok(outcomes) => {
+                let applied = outcomes.iter().filter(|o| matches!(o, FleetOutcome::Applied)).count();
+                log::info!(planned = count, applied = applied; "VM records changed");
+            }
+            Err(e) => log::warn!(error:% = e; "VM records could not be changed"),
+        }
+    }
+
+    /// Measures the demand of the pools as this entry sees it.
+    fn measure_demand(&self) {
+        let (now, wall) = (self.clock.now(), self.clock.wall());
+        let pools: Vec<PoolId> = self.holder.config().config.pools.keys().cloned().collect();
+        for pool in pools {
+            let sample = {
+                let mut dispatch = self.dispatch();
+                let slots = dispatch.slots(&pool, now);
+                let queue_wait = dispatch.queue(&pool).expected_wait(Kind::Urgent, slots);
+                DemandSample { busy_slots: slots.total.saturating_sub(slots.free), slots: slots.total, queue_wait }
+            };
+            self.fleet.lock().demand.entry(pool).or_default().observe(sample, wall);
+        }
+    }
+
+    /// Tells workers to drain, to take work again or to reboot, where their reports differ from the records.
+    ///
+    /// A worker without a permit that drains of its own accord is left alone: its VM is in graceful shutdown.
+    fn instruct_workers(self: &Arc<Self>) {
+        let requests: Vec<_> = {
+            let inner = self.fleet.lock();
+            let find = |(id, vm): (&VmId, &carawaybarrow_core::fleet::Vm)| {
+                let Some(Seen { report: Report::Up { incarnation, draining, .. }, .. }) = inner.seen.get(id) else {
+                    return None;
+                };
+                let address = vm.place.address.parse::<SocketAddr>().ok()?;
+                let told_to_reboot: Option<Incarnation> = vm.permit.as_ref().and_then(|p| p.rebooted_from);
+                let request = if vm.state == VmState::Rebooting && told_to_reboot == Some(*incarnation) {
+                    WorkerRequest::Reboot
+                } else if vm.must_drain() && !draining {
+                    WorkerRequest::Drain
+                } else if vm.permit.is_some() && !vm.must_drain() && *draining {
+                    WorkerRequest::Undrain
+                } else {
+                    return None;
+                };
+                Some((id.clone(), address, request))
+            };
+            inner.document.vms().filter_map(find).collect()
+        };
+        for (vm, address, request) in requests {
+            log::info!(vm:% = vm, request:? = request; "worker instructed");
+            let entry = Arc::clone(self);
+            // If the call is lost, the next look repeats it.
+            task::spawn(async move { entry.workers.request(address, request).await });
+        }
+    }
+}
--- /dev/null
+++ b/crates/carawaybarrow/src/front.rs
@@ -0,0 +1,377 @@
+//! HTTP interface for callers.
+
+use std::sync::Arc;
+
+use carawaybarrow_core::admission::{self, Request, Verdict, View};
+use carawaybarrow_core::finding::Findings;
+use carawaybarrow_core::ids::{ClassId, JobId};
+use carawaybarrow_core::job::{Content, JobSpec, Ran, Refusal, Size};
+use carawaybarrow_core::journal::{JobCommand, JobOutcome, JobView, Rejection, StateName};
+use carawaybarrow_core::keys::KeyHash;
+use carawaybarrow_core::map::Map;
+use carawaybarrow_core::queue::{Kind, Slots};
+use carawaybarrow_core::units::Millis;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tide::{Body, Response, StatusCode};
+
+use crate::config_sync::Held;
+use crate::dispatch;
+use crate::durable;
+use crate::entry::{self, Entry};
+use crate::shards::SubmitError;
+use crate::urgent::Answer;
+
+/// Request of the HTTP server.
+pub type HttpRequest = tide::Request<Arc<Entry>>;
+
+/// A submitted job.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Submission {
+    queue: String,
+    #[serde(default)]
+    team: Option<String>,
+    #[serde(default)]
+    request_id: Option<String>,
+    payload: String,
+    #[serde(default)]
+    size: Size,
+    #[serde(default)]
+    expected_run_ms: Option<Millis>,
+    /// Time until the answer is of no more use, counted from the arrival of the request.
+    #[serde(default)]
+    deadline_ms: Option<Millis>,
+}
+
+/// State of a job, as its caller sees it.
+#[derive(Debug, Serialize)]
+struct JobBody<'a> {
+    job: &'a JobId,
+    state: StateName,
+    ran: Ran,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    answer: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    reason: Option<String>,
+    cancel_requested: bool,
+}
+
+/// Adds the routes for callers.
+pub fn add_routes(app: &mut tide::Server<Arc<Entry>>) {
+    app.at("/v1/jobs").post(submit_job);
+    app.at("/v1/jobs/:id").get(get_job).delete(cancel_job);
+    app.at("/healthz").get(|_| async { Ok("ok\n") });
+    app.at("/readyz").get(|req: HttpRequest| async move {
+        let ready = req.state().is_ready();
+        let status = if ready { StatusCode::Ok } else { StatusCode::ServiceUnavailable };
+        Ok(Response::builder(status).body(if ready { "ready\n" } else { "not ready\n" }).build())
+    });
+    app.at("/metrics").get(|req: HttpRequest| async move { Ok(req.state().metrics.render()) });
+}
+
+/// The secret in the `authorization` header.
+#[must_use]
+pub fn read_key(req: &HttpRequest) -> Option<KeyHash> {
+    let secret = req.header("authorization")?.as_str().strip_prefix("Bearer ")?;
+    Some(KeyHash::of_secret(secret.trim()))
+}
+
+/// Reads a JSON body.
+///
+/// # Errors
+///
+/// Returns the answer to the caller, with line and column, if the body can't be read.
+pub async fn read_json<T: for<'a> Deserialize<'a>>(req: &mut HttpRequest) -> Result<T, Response> {
+    // The server has read the body already, so this can't fail.
+    let bytes = req.body_bytes().await.unwrap_or_default();
+    serde_json::from_slice(&bytes).map_err(|e| {
+        let mut errors = Findings::new();
+        errors.add(format!("body {}:{}", e.line(), e.column()), e.to_string());
+        respond(StatusCode::BadRequest, &json!({ "ran": Ran::No, "reason": "invalid", "errors": errors }))
+    })
+}
+
+/// An answer with a JSON body.
+#[must_use]
+pub fn respond<T: Serialize>(status: StatusCode, body: &T) -> Response {
+    let bytes = carawaybarrow_core::commit::encode_json(body);
+    let mut body = Body::from_bytes(bytes);
+    body.set_mime(http_types::mime::JSON);
+    Response::builder(status).body(body).build()
+}
+
+async fn submit_job(mut req: HttpRequest) -> tide::Result {
+    let entry = Arc::clone(req.state());
+    let key = read_key(&req);
+    let submission = match read_json::<Submission>(&mut req).await {
+        Ok(submission) => submission,
+        Err(res) => {
+            entry.metrics.count_answer(None, Ran::No, res.status().into());
+            return Ok(res);
+        }
+    };
+    let (class, res, ran) = entry.take_submission(submission, key).await;
+    entry.metrics.count_answer(class.as_ref(), ran, res.status().into());
+    Ok(res)
+}
+
+impl Entry {
+    async fn take_submission(
+        self: &Arc<Self>,
+        submission: Submission,
+        key: Option<KeyHash>,
+    ) -> (Option<ClassId>, Response, Ran) {
+        let held = self.holder.config();
+        match self.admit(&held, &submission, key.as_ref()) {
+            Verdict::Urgent(spec) => {
+                let (job, class) = (spec.id.clone(), spec.class.clone());
+                let answer = self.run_urgent(spec, submission.payload).await;
+                let (res, ran) = describe_answer(&job, answer);
+                (Some(class), res, ran)
+            }
+            Verdict::Durable(spec) => {
+                let class = spec.class.clone();
+                let (res, ran) = self.take_durable(spec, submission.payload).await;
+                (Some(class), res, ran)
+            }
+            Verdict::Refuse(refusal) => {
+                let class = self.find_class(&held, &submission.queue);
+                (class, describe_refusal(&refusal), Ran::No)
+            }
+        }
+    }
+
+    fn find_class(&self, held: &Held, queue: &str) -> Option<ClassId> {
+        let queue = queue.parse().ok()?;
+        held.config.queues.get(&queue).map(|q| q.value.class.clone())
+    }
+
+    fn admit(&self, held: &Held, submission: &Submission, key: Option<&KeyHash>) -> Verdict {
+        let (now, wall) = (self.clock.now(), self.clock.wall());
+        let own_id;
+        let request_id = match &submission.request_id {
+            Some(id) => id.as_str(),
+            None => {
+                own_id = entry::new_id();
+                &own_id
+            }
+        };
+        let request = Request {
+            queue: &submission.queue,
+            team: submission.team.as_deref(),
+            key,
+            request_id,
+            payload: &submission.payload,
+            size: submission.size,
+            expected_run: submission.expected_run_ms,
+            deadline: submission.deadline_ms.map(|d| wall + d),
+        };
+        let team = key.and_then(|hash| held.find_team(hash));
+        let queue = submission.queue.parse().ok().and_then(|id| held.config.queues.get(&id));
+        let (expected_wait, room) = match queue {
+            Some(queue) => {
+                let kind = dispatch::find_kind(self.find_target(&queue.value.class));
+                let mut dispatch = self.dispatch();
+                let slots = dispatch.slots(&queue.value.pool, now);
+                let waiting = dispatch.queue(&queue.value.pool);
+                (expected_wait(waiting, kind, slots), waiting.room(team, kind))
+            }
+            None => (Millis(0), admission::Room::Free),
+        };
+        let largest_workers =
+            if submission.size == Size::default() { Map::default() } else { self.fleet.largest_workers() };
+        let view = View {
+            config: &held.config,
+            largest_workers: &largest_workers,
+            fresh: self.is_fresh(),
+            store_reachable: self.is_store_reachable(),
+            expected_wait,
+            room,
+            stopping: false,
+            now: wall,
+        };
+        admission::admit(&request, &view)
+    }
+
+    async fn take_durable(self: &Arc<Self>, spec: JobSpec, payload: String) -> (Response, Ran) {
+        let job = spec.id.clone();
+        match self.accept_durable(spec, payload).await {
+            Ok(JobOutcome::Accepted) => {
+                let body = json!({ "job": job, "state": StateName::Waiting });
+                (respond(StatusCode::Accepted, &body), Ran::No)
+            }
+            Ok(JobOutcome::AlreadyThere { view }) => {
+                let ran = view.ran;
+                let (status, res) = self.describe_job(&job, *view).await;
+                // A repeated request is answered like the first one while its job has not ended.
+                let status = if status == StatusCode::Ok && ran != Ran::Yes { StatusCode::Accepted } else { status };
+                let mut res = res;
+                res.set_status(status);
+                (res, ran)
+            }
+            Ok(JobOutcome::Rejected { why: Rejection::Full { .. } }) => {
+                let refusal = Refusal::Overloaded { retry_after: Millis::from_secs(1) };
+                (describe_refusal(&refusal), Ran::No)
+            }
+            Ok(other) => {
+                log::error!(job:% = job, outcome:? = other; "unexpected outcome of an acceptance");
+                (describe_unknown(&job, "the journal gave an unexpected outcome"), Ran::Unknown)
+            }
+            Err(SubmitError::NotWritten { .. } | SubmitError::NotOwner) => {
+                (describe_refusal(&Refusal::StoreUnavailable), Ran::No)
+            }
+            Err(SubmitError::Unknown) => {
+                let reason = "the store did not tell whether the job was written; send the same request again";
+                (describe_unknown(&job, reason), Ran::Unknown)
+            }
+        }
+    }
+
+    async fn describe_job(&self, job: &JobId, view: JobView) -> (StatusCode, Response) {
+        let answer = match view.answer {
+            Some(Content::Inline { text }) => Some(text),
+            Some(Content::Stored { bytes }) => match self.load_answer(job, bytes).await {
+                Some(text) => Some(text),
+                None => {
+                    let body = json!({ "job": job, "state": view.state, "reason": "the store can't be reached" });
+                    let status = StatusCode::ServiceUnavailable;
+                    return (status, respond(status, &body));
+                }
+            },
+            None => None,
+        };
+        let body = JobBody {
+            job,
+            state: view.state,
+            ran: view.ran,
+            answer,
+            reason: view.reason.map(String::from),
+            cancel_requested: view.cancel_requested,
+        };
+        (StatusCode::Ok, respond(StatusCode::Ok, &body))
+    }
+
+    /// The stored answer of a job; `None` if it can't be read in full.
+    async fn load_answer(&self, job: &JobId, bytes: u64) -> Option<String> {
+        let stored = self.store.get(&durable::result_key(job)).await.ok()??;
+        let text = String::from_utf8(stored.bytes).ok()?;
+        (text.len() as u64 == bytes).then_some(text)
+    }
+}
+
+fn expected_wait(queue: &carawaybarrow_core::queue::ReadyQueue, kind: Kind, slots: Slots) -> Millis {
+    queue.expected_wait(kind, slots)
+}
+
+fn describe_answer(job: &JobId, answer: Answer) -> (Response, Ran) {
+    match answer {
+        Answer::Done { body } => match std::str::from_utf8(&body) {
+            Ok(text) => {
+                let body = json!({ "job": job, "outcome": "done", "ran": Ran::Yes, "answer": text });
+                (respond(StatusCode::Ok, &body), Ran::Yes)
+            }
+            Err(e) => (describe_failed(job, &format!("the worker's answer is not UTF-8: {e}")), Ran::Yes),
+        },
+        Answer::Failed { reason } => (describe_failed(job, &reason), Ran::Yes),
+        Answer::Unknown { reason } => (describe_unknown(job, &reason), Ran::Unknown),
+        Answer::Refused(refusal) => (describe_refusal(&refusal), Ran::No),
+    }
+}
+
+fn describe_failed(job: &JobId, reason: &str) -> Response {
+    let body = json!({ "job": job, "outcome": "failed", "ran": Ran::Yes, "reason": reason });
+    respond(StatusCode::BadGateway, &body)
+}
+
+fn describe_unknown(job: &JobId, reason: &str) -> Response {
+    let body = json!({ "job": job, "outcome": "unknown", "ran": Ran::Unknown, "reason": reason });
+    respond(StatusCode::GatewayTimeout, &body)
+}
+
+/// The answer to a refused request. Its body always says that nothing ran.
+#[must_use]
+pub fn describe_refusal(refusal: &Refusal) -> Response {
+    let (status, message, retry_after) = match refusal {
+        Refusal::Invalid { .. } => (StatusCode::BadRequest, "the request breaks rules", None),
+        Refusal::NotAllowed { .. } => (StatusCode::Forbidden, "the key does not allow this work", None),
+        Refusal::Overloaded { retry_after } => {
+            (StatusCode::ServiceUnavailable, "the job would start too late", Some(*retry_after))
+        }
+        Refusal::TeamLimit { retry_after } => {
+            (StatusCode::TooManyRequests, "the team has reached its limit", Some(*retry_after))
+        }
+        Refusal::Stale => {
+            (StatusCode::ServiceUnavailable, "this entry can't confirm that keys and limits are current", None)
+        }
+        Refusal::StoreUnavailable => {
+            (StatusCode::ServiceUnavailable, "the store can't be reached, so the job can't be made durable", None)
+        }
+        Refusal::Stopping => (StatusCode::ServiceUnavailable, "this entry is stopping", None),
+    };
+    let mut body = serde_json::to_value(refusal).unwrap_or_default();
+    if let Some(fields) = body.as_object_mut() {
+        fields.insert("ran".to_owned(), json!(Ran::No));
+        fields.insert("message".to_owned(), json!(message));
+        fields.entry("errors").or_insert_with(|| json!([{ "place": "request", "message": message }]));
+    }
+    let mut res = respond(status, &body);
+    if let Some(after) = retry_after {
+        // The header counts in seconds; the body has the exact time.
+        res.insert_header("retry-after", after.0.div_ceil(1000).to_string());
+    }
+    res
+}
+
+/// Reads the job id of a path, and checks that the caller's key belongs to the job's team.
+async fn find_job(req: &HttpRequest) -> Result<(JobId, JobView), Response> {
+    let entry = req.state();
+    let not_found =
+        || respond(StatusCode::NotFound, &json!({ "errors": [{ "place": "job", "message": "there is no such job" }] }));
+    let Ok(job) = req.param("id").unwrap_or_default().parse::<JobId>() else { return Err(not_found()) };
+    let Ok(found) = entry.get_job(&job).await else {
+        return Err(respond(
+            StatusCode::ServiceUnavailable,
+            &json!({ "errors": [{ "place": "job", "message": "the journal can't be read now" }] }),
+        ));
+    };
+    let Some(status) = found else { return Err(not_found()) };
+    if let Some(team) = &status.team {
+        let held = entry.holder.config();
+        let is_owner = read_key(req).is_some_and(|key| held.find_team(&key) == Some(team));
+        // Another team learns nothing, not even that the job exists.
+        if !is_owner {
+            return Err(not_found());
+        }
+    }
+    Ok((job, status.view))
+}
+
+async fn get_job(req: HttpRequest) -> tide::Result {
+    match find_job(&req).await {
+        Ok((job, view)) => Ok(req.state().describe_job(&job, view).await.1),
+        Err(res) => Ok(res),
+    }
+}
+
+async fn cancel_job(req: HttpRequest) -> tide::Result {
+    let (job, _) = match find_job(&req).await {
+        Ok(found) => found,
+        Err(res) => return Ok(res),
+    };
+    let entry = req.state();
+    let command = JobCommand::Cancel { job: job.clone(), at: entry.clock.wall() };
+    Ok(match entry.submit(entry.shards.of_job(&job), vec![command]).await.as_deref() {
+        Ok([JobOutcome::CancelRequested { claim }]) => {
+            entry.stop_task(&claim.vm, &claim.task).await;
+            respond(StatusCode::Accepted, &json!({ "job": job, "cancel_requested": true }))
+        }
+        Ok([JobOutcome::Ended { view } | JobOutcome::AlreadyThere { view }]) => {
+            respond(StatusCode::Ok, &json!({ "job": job, "state": view.state, "ran": view.ran }))
+        }
+        Ok([JobOutcome::Rejected { why }]) => {
+            respond(StatusCode::Conflict, &json!({ "errors": [{ "place": "job", "message": why.to_string() }] }))
+        }
+        _ => describe_refusal(&Refusal::StoreUnavailable),
+    })
+}
--- a/crates/carawaybarrow/src/http_server.rs
+++ b/crates/carawaybarrow/src/http_server.rs
@@ -1,21 +1,32 @@
 //! HTTP server that stops without cutting a request in progress.
 
 use std::net::{Shutdown, SocketAddr};
+use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_h1::server;
+use async_std::channel;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use carawaybarrow_core::Map;
-use futures::FutureExt;
-use http_types::Request;
+use carawaybarrow_core::{Findings, Map};
+use futures::future::{self, Either};
+use futures::{AsyncReadExt, FutureExt};
+use http_types::{Request, Response, StatusCode};
+use serde_json::json;
 use snafu::{ResultExt, Snafu};
 
 /// Interval at which a stopping server looks whether its connections have ended.
 const STOP_POLL: Duration = Duration::from_millis(10);
 
+/// Bounds of what a server takes in.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Longest body in bytes.
+    pub body_bytes: u64,
+}
+
 /// A server that can't listen.
 #[derive(Debug, Snafu)]
 #[snafu(display("can't listen on {address}: {source}"))]
@@ -76,6 +87,8 @@
 pub struct Handle {
     address: SocketAddr,
     tracker: Arc<Tracker>,
+    /// Closed to end listening.
+    accepting: channel::Sender<()>,
 }
 
 impl Handle {
@@ -105,6 +118,7 @@
     /// Stops listening and waits until each request in progress has been answered.
     pub async fn finish_stop(&self) {
         self.start_stop();
+        self.accepting.close();
         while !self.tracker.is_empty() {
             self.tracker.close_idle();
             task::sleep(STOP_POLL).await;
@@ -117,35 +131,46 @@
 /// # Errors
 ///
 /// Fails if the address can't be used.
-pub async fn listen<S>(address: SocketAddr, app: tide::Server<S>) -> Result<Handle, ListenError>
+pub async fn listen<S>(address: SocketAddr, app: tide::Server<S>, limits: Limits) -> Result<Handle, ListenError>
 where
     S: Clone + Send + Sync + 'static,
 {
     let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
     let address = listener.local_addr().context(ListenSnafu { address })?;
-    let handle = Handle { address, tracker: Arc::default() };
-    task::spawn(accept_connections(listener, app, Arc::clone(&handle.tracker)));
+    let (accepting, closed) = channel::bounded(1);
+    let handle = Handle { address, tracker: Arc::default(), accepting };
+    task::spawn(accept_connections(listener, closed, app, limits, Arc::clone(&handle.tracker)));
     Ok(handle)
 }
 
-async fn accept_connections<S>(listener: TcpListener, app: tide::Server<S>, tracker: Arc<Tracker>)
-where
+async fn accept_connections<S>(
+    listener: TcpListener,
+    closed: channel::Receiver<()>,
+    app: tide::Server<S>,
+    limits: Limits,
+    tracker: Arc<Tracker>,
+) where
     S: Clone + Send + Sync + 'static,
 {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        // The channel carries no message; it ends when the server stops.
+        let accepted = match future::select(pin!(listener.accept()), pin!(closed.recv())).await {
+            Either::Left((accepted, _)) => accepted,
+            Either::Right(_) => return,
+        };
+        let Ok((stream, _)) = accepted else {
             // Accept fails for lack of file descriptors among others; the pause lets connections end.
             task::sleep(STOP_POLL).await;
             continue;
         };
         // Without this, an answer in two segments waits for the delayed acknowledgement of the first.
         if stream.set_nodelay(true).is_ok() {
-            task::spawn(serve_connection(stream, app.clone(), Arc::clone(&tracker)));
+            task::spawn(serve_connection(stream, app.clone(), limits, Arc::clone(&tracker)));
         }
     }
 }
 
-async fn serve_connection<S>(stream: TcpStream, app: tide::Server<S>, tracker: Arc<Tracker>)
+async fn serve_connection<S>(stream: TcpStream, app: tide::Server<S>, limits: Limits, tracker: Arc<Tracker>)
 where
     S: Clone + Send + Sync + 'static,
 {
@@ -154,7 +179,7 @@
         busy.store(true, Ordering::SeqCst);
         tracker.requests.fetch_add(1, Ordering::SeqCst);
         let tracker = &tracker;
-        respond(&app, req).map(move |mut res| {
+        respond(&app, req, limits).map(move |mut res| {
             tracker.requests.fetch_sub(1, Ordering::SeqCst);
             if tracker.is_stopping() {
                 res.insert_header("connection", "close");
@@ -172,10 +197,38 @@
     tracker.remove(id);
 }
 
-async fn respond<S>(app: &tide::Server<S>, req: Request) -> http_types::Response
+async fn respond<S>(app: &tide::Server<S>, mut req: Request, limits: Limits) -> Response
 where
     S: Clone + Send + Sync + 'static,
 {
-    let answer: http_types::Result<http_types::Response> = app.respond(req).await;
-    answer.unwrap_or_else(|e| http_types::Response::new(e.status()))
+    // async-h1 loses bytes of the next request on a connection if an answer is sent before the body has arrived, so
+    // the body is read first, also for requests that are refused without it.
+    match read_body(&mut req, limits.body_bytes).await {
+        Ok(Some(bytes)) => req.set_body(bytes),
+        Ok(None) => return refuse_body(limits.body_bytes),
+        Err(_) => return close(Response::new(StatusCode::BadRequest)),
+    }
+    let answer: http_types::Result<Response> = app.respond(req).await;
+    answer.unwrap_or_else(|e| Response::new(e.status()))
+}
+
+/// Reads a body; `None` if it is longer than the limit.
+async fn read_body(req: &mut Request, limit: u64) -> std::io::Result<Option<Vec<u8>>> {
+    let mut bytes = Vec::new();
+    req.take_body().take(limit + 1).read_to_end(&mut bytes).await?;
+    Ok((bytes.len() as u64 <= limit).then_some(bytes))
+}
+
+fn refuse_body(limit: u64) -> Response {
+    let mut errors = Findings::new();
+    errors.add("body", format!("it has more than {limit} bytes"));
+    let mut res = Response::new(StatusCode::PayloadTooLarge);
+    res.set_body(json!({ "ran": "no", "reason": "invalid", "errors": errors }));
+    close(res)
+}
+
+/// Ends the connection after this answer, because the rest of the request is still on its way.
+fn close(mut res: Response) -> Response {
+    res.insert_header("connection", "close");
+    res
 }
--- /dev/null
+++ b/crates/carawaybarrow/src/logging.rs
@@ -0,0 +1,13 @@
+//! Logs as key-value lines on standard error.
+
+use logforth::append::Stderr;
+use logforth::filter::rustlog::RustLogFilterBuilder;
+use logforth::layout::LogfmtLayout;
+
+/// Starts logging at the level `info`, or as the variable `RUST_LOG` says.
+pub fn start_logging() {
+    let filter = RustLogFilterBuilder::from_default_env_or("carawaybarrow=info").build();
+    logforth::starter_log::builder()
+        .dispatch(|d| d.filter(filter).append(Stderr::default().with_layout(LogfmtLayout::default())))
+        .apply();
+}
--- a/crates/carawaybarrow/src/main.rs
+++ b/crates/carawaybarrow/src/main.rs
@@ -1,3 +1,7 @@
 //! The carawaybarrow command.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    carawaybarrow::cli::run()
+}
--- /dev/null
+++ b/crates/carawaybarrow/src/quota_sync.rs
@@ -0,0 +1,143 @@
+//! Permits of this entry, and the reclaim of those of departed entries.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use carawaybarrow_core::commit::{Commit, Document};
+use carawaybarrow_core::ids::{EntryId, Incarnation, ShardId, StoreVersion, TeamId};
+use carawaybarrow_core::membership::MembersCommand;
+use carawaybarrow_core::quota::{Quota, QuotaCommand};
+use carawaybarrow_core::units::{Millis, MonoTime};
+
+use crate::entry::Entry;
+use crate::store::{self, Committed};
+
+/// Store key of the permits. There is one quota shard today.
+const QUOTA_KEY: &str = "quota/0";
+
+/// Interval at which missing permits are noticed; a part of the time in which urgent work has to start.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Interval at which the document is read, to see the wants of others and lowered limits.
+const READ_INTERVAL: Millis = Millis(1_000);
+
+/// Interval at which departed entries are looked at.
+const RECLAIM_INTERVAL: Millis = Millis(2_000);
+
+/// The shard whose owner also plans the fleet and reclaims permits, so that these duties need no lease of their own.
+pub const DUTY_SHARD: ShardId = ShardId(0);
+
+/// Name under which this run of an entry holds slot leases. It includes the incarnation, so that tasks of an earlier
+/// process under the same id can be told apart.
+#[must_use]
+pub fn lease_holder(entry: &EntryId, incarnation: Incarnation) -> String {
+    format!("{entry}.{incarnation}")
+}
+
+impl Entry {
+    /// Whether this entry has the duties that one entry does for all.
+    #[must_use]
+    pub fn has_duty(&self) -> bool {
+        self.shards.read(DUTY_SHARD, |_| ()).is_some()
+    }
+
+    /// Asks for permits, gives idle ones back, and reclaims those of departed entries.
+    pub async fn keep_permits(self: Arc<Self>) {
+        let mut read_at = MonoTime(0);
+        let mut reclaimed_at = self.clock.now();
+        loop {
+            task::sleep(TICK).await;
+            let now = self.clock.now();
+            let commands = self.dispatch().permits.wanted(now);
+            if !commands.is_empty() {
+                self.commit_permits(commands).await;
+                read_at = now;
+            } else if now.since(read_at) >= READ_INTERVAL {
+                self.read_permits().await;
+                read_at = now;
+            }
+            if now.since(reclaimed_at) >= RECLAIM_INTERVAL && self.has_duty() {
+                self.reclaim_departed().await;
+                reclaimed_at = now;
+            }
+        }
+    }
+
+    async fn commit_permits(self: &Arc<Self>, commands: Vec<QuotaCommand>) {
+        let commit = Commit::<Quota>::new(self.new_change_id(), commands);
+        match store::run_commit(&*self.store, QUOTA_KEY, commit).await {
+            Ok(Committed { version, document, .. }) => {
+                self.dispatch().permits.committed(version, &document);
+                self.dispatch_all();
+            }
+            Err(_) => self.dispatch().permits.not_committed(),
+        }
+    }
+
+    async fn read_permits(self: &Arc<Self>) {
+        if let Ok(Some(stored)) = self.store.get(QUOTA_KEY).await
+            && let Ok(document) = Quota::decode(&stored.bytes)
+        {
+            self.dispatch().permits.take_document(stored.version, &document);
+            self.dispatch_all();
+        }
+    }
+
+    async fn reclaim_departed(&self) {
+        let now = self.clock.now();
+        let reclaimable: Vec<_> = {
+            let members = self.holder.members();
+            let freshness = self.freshness();
+            let may =
+                |entry: &EntryId, incarnation| freshness.confirmations().may_reclaim(entry, incarnation, now).is_ok();
+            let departed = members.members.departed.iter();
+            departed.filter(|d| may(&d.entry, d.incarnation)).map(|d| (d.entry.clone(), d.incarnation)).collect()
+        };
+        for (entry, incarnation) in reclaimable {
+            self.reclaim(entry, incarnation).await;
+        }
+        let settled = self.freshness().confirmations().find_settled(self.clock.now());
+        if let Some(revision) = settled {
+            // A failed attempt is repeated at the next look.
+            let _ = self.change_members(MembersCommand::Settle { revision }).await;
+        }
+        self.remove_silent().await;
+    }
+
+    async fn reclaim(&self, entry: EntryId, incarnation: Incarnation) {
+        let keep = self.fleet.count_tasks(&lease_holder(&entry, incarnation));
+        let is_done = keep.is_empty();
+        if self.is_reclaimed(&entry, incarnation, &keep).await {
+            if is_done {
+                let _ = self.change_members(MembersCommand::Forget { entry, incarnation }).await;
+            }
+            return;
+        }
+        log::info!(entry:% = entry, incarnation:% = incarnation, kept = keep.len(); "permits of a departed entry reclaimed");
+        let command = QuotaCommand::Reclaim { entry, incarnation, keep };
+        let commit = Commit::<Quota>::new(self.new_change_id(), vec![command]);
+        // A failed attempt is repeated at the next look.
+        drop(store::run_commit(&*self.store, QUOTA_KEY, commit).await);
+    }
+
+    async fn is_reclaimed(&self, entry: &EntryId, incarnation: Incarnation, keep: &BTreeMap<TeamId, u32>) -> bool {
+        let Ok(stored) = self.store.get(QUOTA_KEY).await else { return false };
+        let document = match stored {
+            Some(stored) if stored.version > StoreVersion(0) => Quota::decode(&stored.bytes),
+            _ => Ok(Quota::default()),
+        };
+        document.is_ok_and(|d| d.is_fenced(entry, incarnation) && d.held_by(entry, incarnation) == *keep)
+    }
+
+    /// Ends the membership of entries that have been silent for long.
+    async fn remove_silent(&self) {
+        let silent = self.freshness().find_silent(self.clock.now());
+        for (entry, incarnation) in silent {
+            log::warn!(entry:% = entry; "silent entry removed from the members");
+            // A failed attempt is repeated at the next look.
+            let _ = self.change_members(MembersCommand::Remove { entry, incarnation }).await;
+        }
+    }
+}
--- a/crates/carawaybarrow/src/settings.rs
+++ b/crates/carawaybarrow/src/settings.rs
@@ -110,7 +110,7 @@
     // Every field is read before the first missing one ends the function, so that all problems are reported.
     let entry = reader.read_text("entry", true);
     let data_centre = reader.read_text("data_centre", true);
-    let callers = reader.read_text("callers", true);
+    let callers = reader.read_text::<SocketAddr>("callers", true);
     let peers = reader.read_text("peers", true);
     let store = reader.read_text("store", true);
     let vm_list = reader.read_text("vm_list", true);
@@ -122,6 +122,7 @@
     let drain_delay = reader.read_duration("drain_delay", DRAIN_DELAY);
     if let (Some(callers), Some(peers)) = (callers, peers)
         && callers == peers
+        && callers.port() != 0
     {
         reader.add("peers", "callers and peers need different addresses");
     }
--- /dev/null
+++ b/crates/carawaybarrow/src/shards.rs
@@ -0,0 +1,464 @@
+//! Job shards: ownership, group commit and access through the owner.
+
+use std::collections::BTreeMap;
+use std::hash::Hasher;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_std::task;
+use carawaybarrow_core::commit::{Commit, Document, NotWritten};
+use carawaybarrow_core::ids::{JobId, LeaseId, ShardId, StoreVersion, TeamId};
+use carawaybarrow_core::job;
+use carawaybarrow_core::journal::{JobCommand, JobOutcome, JobShard, JobView};
+use carawaybarrow_core::units::{Millis, MonoTime};
+use futures::channel::oneshot;
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+use crate::entry::Entry;
+use crate::peer::PeerError;
+use crate::store::{self, CommitError, Committed, Put, PutAnswer, StoreError};
+
+/// Writes per second that all owners together make to job shards; part of the store's budget.
+const JOURNAL_WRITES_PER_SECOND: u64 = 140;
+
+/// Lifetime of the store lease under which an entry owns shards.
+const OWNER_LEASE_TTL: Millis = Millis(5_000);
+
+/// Time without a successful renewal after which an entry no longer counts on its lease.
+const OWNER_LEASE_TRUST: Millis = Millis(4_000);
+
+/// Interval of ownership checks and renewals.
+const OWNERSHIP_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Time without a heartbeat after which an owner is asked no more and its shards may be taken.
+const OWNER_SILENCE: Millis = Millis(3_000);
+
+/// Time for which a shard must be without an owner before an entry takes more than its part.
+const ORPHAN_DELAY: Millis = Millis(3_000);
+
+/// Interval at which an owner reads its shards, to see what other entries wrote without it.
+const REFRESH_INTERVAL: Millis = Millis(5_000);
+
+/// Why journal commands have no outcome.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum SubmitError {
+    /// This entry doesn't own the shard.
+    #[snafu(display("this entry doesn't own the shard"))]
+    NotOwner,
+    /// Nothing was written.
+    #[snafu(display("the journal was not written: {reason}"))]
+    NotWritten {
+        /// Why.
+        reason: NotWritten,
+    },
+    /// The commands may have taken effect.
+    #[snafu(display("the store did not tell whether the journal was written"))]
+    Unknown,
+}
+
+impl From<CommitError> for SubmitError {
+    fn from(error: CommitError) -> Self {
+        match error {
+            CommitError::NotWritten { reason } => Self::NotWritten { reason },
+            CommitError::Unknown => Self::Unknown,
+        }
+    }
+}
+
+type Answer = Result<Vec<JobOutcome>, SubmitError>;
+
+#[derive(Debug)]
+struct Pending {
+    commands: Vec<JobCommand>,
+    tx: oneshot::Sender<Answer>,
+}
+
+#[derive(Debug, Default)]
+struct Owned {
+    version: StoreVersion,
+    document: JobShard,
+    /// Version of the owner key, which an orderly release names.
+    owner_version: StoreVersion,
+    pending: Vec<Pending>,
+    writing: bool,
+    refreshed_at: MonoTime,
+}
+
+#[derive(Debug, Default)]
+struct Ownership {
+    lease: Option<LeaseId>,
+    renewed_at: MonoTime,
+    owned: BTreeMap<ShardId, Owned>,
+    /// Since when a shard has been without an owner, as far as this entry knows.
+    orphaned: BTreeMap<ShardId, MonoTime>,
+}
+
+/// The shards that this entry owns.
+#[derive(Debug)]
+pub struct Shards {
+    count: u16,
+    state: Mutex<Ownership>,
+}
+
+impl Shards {
+    /// Creates the state of an entry that owns nothing.
+    #[must_use]
+    pub fn new(count: u16) -> Self {
+        Self { count, state: Mutex::default() }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Ownership> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The shards that this entry owns.
+    #[must_use]
+    pub fn owned(&self) -> Vec<ShardId> {
+        self.lock().owned.keys().copied().collect()
+    }
+
+    /// Shard of a job.
+    #[must_use]
+    pub fn of_job(&self, job: &JobId) -> ShardId {
+        job::find_shard(job, self.count)
+    }
+
+    /// Reads an owned shard.
+    pub fn read<T>(&self, shard: ShardId, f: impl FnOnce(&JobShard) -> T) -> Option<T> {
+        self.lock().owned.get(&shard).map(|owned| f(&owned.document))
+    }
+
+    fn interval(&self) -> Duration {
+        Duration::from_millis(u64::from(self.count) * 1_000 / JOURNAL_WRITES_PER_SECOND)
+    }
+
+    fn take_version(&self, shard: ShardId, version: StoreVersion, document: JobShard, now: MonoTime) {
+        if let Some(owned) = self.lock().owned.get_mut(&shard) {
+            owned.refreshed_at = now;
+            if version > owned.version {
+                owned.version = version;
+                owned.document = document;
+            }
+        }
+    }
+
+    /// Queues commands; tells whether a writer has to be started.
+    fn queue(&self, shard: ShardId, pending: Pending) -> Result<bool, Pending> {
+        let mut state = self.lock();
+        let Some(owned) = state.owned.get_mut(&shard) else { return Err(pending) };
+        owned.pending.push(pending);
+        Ok(!std::mem::replace(&mut owned.writing, true))
+    }
+
+    /// Takes the commands that wait for a write. The writer ends if there are none.
+    fn take_pending(&self, shard: ShardId) -> Option<(Vec<Pending>, StoreVersion, JobShard)> {
+        let mut state = self.lock();
+        let owned = state.owned.get_mut(&shard)?;
+        if owned.pending.is_empty() {
+            owned.writing = false;
+            return None;
+        }
+        Some((std::mem::take(&mut owned.pending), owned.version, owned.document.clone()))
+    }
+
+    fn drop_all(&self) {
+        let mut state = self.lock();
+        state.lease = None;
+        let dropped = std::mem::take(&mut state.owned);
+        drop(state);
+        for pending in dropped.into_values().flat_map(|owned| owned.pending) {
+            // A receiver that is gone has given up.
+            drop(pending.tx.send(NotOwnerSnafu.fail()));
+        }
+    }
+}
+
+/// A job in the journal and the team that it belongs to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobStatus {
+    /// Team; absent on queues open to all, and for jobs that were archived.
+    pub team: Option<TeamId>,
+    /// What its caller is told.
+    pub view: JobView,
+}
+
+fn find_status(document: &JobShard, job: &JobId) -> Option<JobStatus> {
+    let team = document.record(job).and_then(|record| record.spec.team.clone());
+    document.get(job).map(|view| JobStatus { team, view })
+}
+
+/// Store key of a shard.
+#[must_use]
+pub fn shard_key(shard: ShardId) -> String {
+    format!("jobs/{shard}")
+}
+
+fn owner_key(shard: ShardId) -> String {
+    format!("owner/jobs-{shard}")
+}
+
+impl Entry {
+    /// Commits commands to a shard that this entry owns, together with those of other callers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if this entry doesn't own the shard or the store can't be reached.
+    pub async fn submit_as_owner(self: &Arc<Self>, shard: ShardId, commands: Vec<JobCommand>) -> Answer {
+        let (tx, rx) = oneshot::channel();
+        match self.shards.queue(shard, Pending { commands, tx }) {
+            Ok(true) => drop(task::spawn(Arc::clone(self).write_shard(shard))),
+            Ok(false) => {}
+            Err(_) => return NotOwnerSnafu.fail(),
+        }
+        rx.await.unwrap_or(Err(SubmitError::Unknown))
+    }
+
+    /// Writes batches to a shard until nothing waits.
+    async fn write_shard(self: Arc<Self>, shard: ShardId) {
+        while let Some((batch, version, document)) = self.shards.take_pending(shard) {
+            let started = self.clock.now();
+            let commands = batch.iter().flat_map(|p| p.commands.iter().cloned()).collect();
+            let commit = Commit::new(self.new_change_id(), commands).with_base(version, document);
+            match store::run_commit::<JobShard>(&*self.store, &shard_key(shard), commit).await {
+                Ok(Committed { outcomes, version, document }) => {
+                    self.shards.take_version(shard, version, document, self.clock.now());
+                    answer_batch(batch, outcomes);
+                }
+                Err(e) => fail_batch(batch, e.into()),
+            }
+            self.offer_waiting(shard);
+            let passed = self.clock.now().since(started).to_duration();
+            task::sleep(self.shards.interval().saturating_sub(passed)).await;
+        }
+    }
+
+    /// Commits commands to the shard of a job: through its owner, or directly if the owner can't be reached.
+    ///
+    /// Commands other than `Claim` may be submitted twice, because their second application changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store can't be reached.
+    pub async fn submit(self: &Arc<Self>, shard: ShardId, commands: Vec<JobCommand>) -> Answer {
+        match self.submit_as_owner(shard, commands.clone()).await {
+            Err(SubmitError::NotOwner) => {}
+            answer => return answer,
+        }
+        if let Some(owner) = self.peers.find_owner(shard, self.clock.now(), OWNER_SILENCE) {
+            match self.submit_to_peer(&owner, shard, &commands).await {
+                Ok(outcomes) => return Ok(outcomes),
+                Err(PeerError::NotTaken | PeerError::Unknown) => {}
+            }
+        }
+        let commit = Commit::<JobShard>::new(self.new_change_id(), commands);
+        let committed = store::run_commit(&*self.store, &shard_key(shard), commit).await?;
+        Ok(committed.outcomes)
+    }
+
+    /// A job of a shard that this entry owns; `None` if it doesn't own the shard.
+    #[must_use]
+    pub fn get_owned_job(&self, job: &JobId) -> Option<Option<JobStatus>> {
+        self.shards.read(self.shards.of_job(job), |document| find_status(document, job))
+    }
+
+    /// A job, from its shard's owner or from the store.
+    ///
+    /// # Errors
+    ///
+    /// Fails if neither the owner nor the store can be reached.
+    pub async fn get_job(self: &Arc<Self>, job: &JobId) -> Result<Option<JobStatus>, StoreError> {
+        if let Some(view) = self.get_owned_job(job) {
+            return Ok(view);
+        }
+        let shard = self.shards.of_job(job);
+        if let Some(owner) = self.peers.find_owner(shard, self.clock.now(), OWNER_SILENCE)
+            && let Ok(view) = self.get_job_from_peer(&owner, job).await
+        {
+            return Ok(view);
+        }
+        let Some(stored) = self.store.get(&shard_key(shard)).await? else { return Ok(None) };
+        let document = JobShard::decode(&stored.bytes).map_err(|_undecodable| StoreError::Refused)?;
+        Ok(find_status(&document, job))
+    }
+
+    /// Takes and keeps the part of the shards that this entry should own.
+    pub async fn keep_shards(self: Arc<Self>) {
+        while !self.is_stopping() {
+            self.renew_ownership().await;
+            if self.holds_lease() {
+                self.take_shards().await;
+                self.release_surplus().await;
+            }
+            self.refresh_shards().await;
+            task::sleep(OWNERSHIP_INTERVAL).await;
+        }
+        self.give_up_shards().await;
+    }
+
+    fn holds_lease(&self) -> bool {
+        self.shards.lock().lease.is_some()
+    }
+
+    async fn renew_ownership(&self) {
+        let lease = self.shards.lock().lease.clone();
+        let sent = self.clock.now();
+        let renewed = match &lease {
+            Some(lease) => self.store.renew_lease(lease).await,
+            None => match self.store.grant_lease(OWNER_LEASE_TTL).await {
+                Ok(lease) => {
+                    self.shards.lock().lease = Some(lease);
+                    Ok(())
+                }
+                Err(e) => Err(e),
+            },
+        };
+        let mut state = self.shards.lock();
+        if renewed.is_ok() {
+            state.renewed_at = sent;
+            return;
+        }
+        let lapsed =
+            renewed == Err(StoreError::LeaseLapsed) || self.clock.now().since(state.renewed_at) > OWNER_LEASE_TRUST;
+        let lost = !state.owned.is_empty();
+        drop(state);
+        if lapsed {
+            self.shards.drop_all();
+            if lost {
+                log::warn!("ownership of job shards lost");
+            }
+        }
+    }
+
+    /// Number of shards that this entry should own.
+    fn find_part(&self) -> usize {
+        let members = self.holder.members().members.current.len().max(1);
+        usize::from(self.shards.count).div_ceil(members)
+    }
+
+    async fn take_shards(self: &Arc<Self>) {
+        for shard in self.find_free_shards() {
+            let lease = self.shards.lock().lease.clone();
+            let Some(lease) = lease else { return };
+            let put = Put {
+                key: owner_key(shard),
+                expect: StoreVersion(0),
+                bytes: self.settings.entry.as_str().as_bytes().to_vec(),
+                lease: Some(lease),
+            };
+            match self.store.put(put).await {
+                Ok(PutAnswer::Written(owner_version)) => self.start_owning(shard, owner_version).await,
+                Ok(PutAnswer::Conflict(_)) => {}
+                Err(_) => return,
+            }
+        }
+    }
+
+    /// Shards that this entry should try to take now.
+    fn find_free_shards(&self) -> Vec<ShardId> {
+        let now = self.clock.now();
+        let part = self.find_part();
+        let mut state = self.shards.lock();
+        let mut free = Vec::new();
+        for shard in (0..self.shards.count).map(ShardId) {
+            let is_owned = state.owned.contains_key(&shard);
+            if is_owned || self.peers.find_owner(shard, now, OWNER_SILENCE).is_some() {
+                state.orphaned.remove(&shard);
+                continue;
+            }
+            let since = *state.orphaned.entry(shard).or_insert(now);
+            free.push((shard, now.since(since) >= ORPHAN_DELAY));
+        }
+        let mut room = part.saturating_sub(state.owned.len());
+        // Entries start at different shards, so that they don't all try the same one first.
+        let start = self.find_first_shard();
+        free.sort_by_key(|(shard, _)| (shard.0 + self.shards.count - start) % self.shards.count);
+        free.retain(|(_, is_old)| {
+            let takes = *is_old || room > 0;
+            room = room.saturating_sub(1);
+            takes
+        });
+        free.into_iter().map(|(shard, _)| shard).collect()
+    }
+
+    fn find_first_shard(&self) -> u16 {
+        let mut hasher = rustc_hash::FxHasher::default();
+        hasher.write(self.settings.entry.as_str().as_bytes());
+        // The remainder is below a u16.
+        (hasher.finish() % u64::from(self.shards.count)) as u16
+    }
+
+    async fn start_owning(self: &Arc<Self>, shard: ShardId, owner_version: StoreVersion) {
+        let owned = Owned { owner_version, ..Owned::default() };
+        self.shards.lock().owned.insert(shard, owned);
+        log::info!(shard:% = shard; "job shard owned");
+        self.refresh_shard(shard).await;
+    }
+
+    async fn release_surplus(&self) {
+        let part = self.find_part();
+        let surplus = {
+            let state = self.shards.lock();
+            let idle = |owned: &Owned| !owned.writing && owned.pending.is_empty();
+            let found = state.owned.iter().rev().find(|(_, owned)| idle(owned));
+            found.filter(|_| state.owned.len() > part).map(|(shard, owned)| (*shard, owned.owner_version))
+        };
+        let Some((shard, version)) = surplus else { return };
+        self.shards.lock().owned.remove(&shard);
+        // If the call is lost, the key stays until the lease ends or this entry takes the shard again.
+        if self.store.delete(&owner_key(shard), version).await.is_ok() {
+            log::info!(shard:% = shard; "job shard given to another entry");
+        }
+    }
+
+    async fn refresh_shards(self: &Arc<Self>) {
+        let now = self.clock.now();
+        let old: Vec<_> = {
+            let state = self.shards.lock();
+            let is_old = |owned: &Owned| now.since(owned.refreshed_at) >= REFRESH_INTERVAL;
+            state.owned.iter().filter(|(_, owned)| is_old(owned)).map(|(shard, _)| *shard).collect()
+        };
+        for shard in old {
+            self.refresh_shard(shard).await;
+        }
+        for shard in self.shards.owned() {
+            self.adopt_claims(shard);
+        }
+    }
+
+    async fn refresh_shard(self: &Arc<Self>, shard: ShardId) {
+        let Ok(stored) = self.store.get(&shard_key(shard)).await else { return };
+        let now = self.clock.now();
+        match stored.map(|s| (s.version, JobShard::decode(&s.bytes))) {
+            Some((version, Ok(document))) => self.shards.take_version(shard, version, document, now),
+            Some((_, Err(e))) => log::error!(shard:% = shard, error:% = e; "a job shard can't be read"),
+            None => self.shards.take_version(shard, StoreVersion(0), JobShard::default(), now),
+        }
+        self.offer_waiting(shard);
+    }
+
+    /// Ends ownership at a planned stop, so that peers can take over at once.
+    pub async fn give_up_shards(&self) {
+        let lease = self.shards.lock().lease.clone();
+        self.shards.drop_all();
+        if let Some(lease) = lease {
+            // If the call is lost, the lease lapses.
+            let _ = self.store.revoke_lease(&lease).await;
+        }
+    }
+}
+
+fn answer_batch(batch: Vec<Pending>, outcomes: Vec<JobOutcome>) {
+    let mut outcomes = outcomes.into_iter();
+    for pending in batch {
+        let own = outcomes.by_ref().take(pending.commands.len()).collect();
+        // A receiver that is gone has given up; the outcome is in the journal.
+        drop(pending.tx.send(Ok(own)));
+    }
+}
+
+fn fail_batch(batch: Vec<Pending>, error: SubmitError) {
+    for pending in batch {
+        drop(pending.tx.send(Err(error)));
+    }
+}
--- /dev/null
+++ b/crates/carawaybarrow/src/slots.rs
@@ -0,0 +1,192 @@
+//! Slot leases that this entry holds: asked for, renewed, reused and given back.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use carawaybarrow_core::Map;
+use carawaybarrow_core::ids::{LeaseId, PoolId, VmId};
+use carawaybarrow_core::job::Refusal;
+use carawaybarrow_core::queue::Kind;
+use carawaybarrow_core::routing::State;
+use carawaybarrow_core::units::{Millis, MonoTime};
+
+use crate::dispatch::{HeldLease, Start};
+use crate::entry::Entry;
+use crate::worker::LeaseAnswer;
+
+/// Interval of the upkeep of leases and queues.
+const TICK: Duration = Duration::from_millis(25);
+
+/// Age at which a lease in use is renewed; a third of the shortest lifetime, so that one lost renewal does no harm.
+const RENEW_AFTER: Millis = Millis(1_000);
+
+/// Time for which an unused lease is kept for reuse.
+const KEEP_IDLE: Millis = Millis(500);
+
+/// Time for which a lease may be reused while workers of the pool have no free slot, so that other entries get a turn.
+const KEEP_WHEN_FULL: Millis = Millis(1_000);
+
+/// Time for which a pool counts as full after a worker had no free slot.
+const FULL_MEMORY: Millis = Millis(1_000);
+
+/// Time after which a refused caller may try again.
+const LATE_RETRY_AFTER: Millis = Millis(200);
+
+impl Entry {
+    /// Obtains a slot lease for a start: the idle one that was chosen, or a new one.
+    pub async fn obtain_lease(self: &Arc<Self>, start: &Start, ttl: Millis) -> Option<(SocketAddr, LeaseId)> {
+        let vm = &start.choice.vm;
+        let Ok(address) = start.choice.address.parse::<SocketAddr>() else {
+            self.dispatch().endpoints.release_failed(vm, self.clock.now(), &mut rand::rng());
+            return None;
+        };
+        if let Some(lease) = &start.choice.lease {
+            return Some((address, lease.clone()));
+        }
+        let sent = self.clock.now();
+        let answer = self.workers.lease(address, &self.lease_holder, ttl).await;
+        let now = self.clock.now();
+        let mut dispatch = self.dispatch();
+        match answer {
+            LeaseAnswer::Granted(lease) => {
+                let held = HeldLease { vm: vm.clone(), address, granted_at: sent, renewed_at: sent, ttl };
+                dispatch.leases.insert(lease.clone(), held);
+                return Some((address, lease));
+            }
+            LeaseAnswer::Full => {
+                dispatch.endpoints.release(vm);
+                dispatch.endpoints.mark_full(vm);
+                dispatch.full_at.insert(start.pool.clone(), now);
+            }
+            LeaseAnswer::Draining => {
+                dispatch.endpoints.release(vm);
+                drop(dispatch);
+                self.mark_endpoint(vm, State::Draining);
+            }
+            LeaseAnswer::Unreachable(_) => dispatch.endpoints.release_failed(vm, now, &mut rand::rng()),
+        }
+        None
+    }
+
+    /// Keeps the lease of an ended task for reuse, or gives it back.
+    pub fn keep_or_release(self: &Arc<Self>, pool: &PoolId, vm: &VmId, _address: SocketAddr, lease: LeaseId) {
+        let now = self.clock.now();
+        let mut dispatch = self.dispatch();
+        let Some(held) = dispatch.leases.get(&lease).cloned() else { return };
+        let is_full = dispatch.full_at.get(pool).is_some_and(|at| now.since(*at) < FULL_MEMORY);
+        let is_used_up = is_full && now.since(held.granted_at) >= KEEP_WHEN_FULL;
+        let expires = held.renewed_at + held.ttl;
+        let refused = if is_used_up {
+            dispatch.endpoints.add_free_slot(vm);
+            Some(lease)
+        } else {
+            dispatch.endpoints.put_idle_lease(vm, lease, expires, now)
+        };
+        drop(dispatch);
+        if let Some(lease) = refused {
+            self.release_lease(&lease);
+        }
+    }
+
+    /// Gives a lease back to its worker.
+    pub fn release_lease(self: &Arc<Self>, lease: &LeaseId) {
+        let Some(held) = self.dispatch().leases.remove(lease) else { return };
+        let (entry, lease) = (Arc::clone(self), lease.clone());
+        task::spawn(async move { entry.workers.release(held.address, lease).await });
+    }
+
+    /// Takes an endpoint out of use and gives its idle leases back.
+    pub fn mark_endpoint(self: &Arc<Self>, vm: &VmId, state: State) {
+        let leases = self.dispatch().endpoints.mark(vm, state, self.clock.now());
+        for lease in leases {
+            self.release_lease(&lease);
+        }
+    }
+
+    /// Upkeep of leases and queues at short intervals.
+    pub async fn keep_slots(self: Arc<Self>) {
+        let mut renewed_at = self.clock.now();
+        loop {
+            task::sleep(TICK).await;
+            let now = self.clock.now();
+            self.refuse_late(now);
+            self.release_idle(now);
+            self.seek_slots(now);
+            self.dispatch().open_trials(now);
+            self.dispatch_all();
+            self.preempt_patient(now);
+            if now.since(renewed_at) >= RENEW_AFTER {
+                renewed_at = now;
+                self.renew_leases(now);
+            }
+        }
+    }
+
+    /// Refuses urgent jobs that can't start in time any more.
+    fn refuse_late(&self, now: MonoTime) {
+        let late: Vec<_> = self.dispatch().queues.values_mut().flat_map(|queue| queue.take_expired(now)).collect();
+        let wall = self.clock.wall();
+        for waiting in &late {
+            let mut dispatch = self.dispatch();
+            if let Some(job) = dispatch.urgent.get(&waiting.job) {
+                let (class, team, pool) = (job.spec.class.clone(), job.spec.team.clone(), job.spec.pool.clone());
+                dispatch.record_target(&class, team.as_ref(), &pool, false, wall);
+            }
+        }
+        self.refuse_waiting(late, &Refusal::Overloaded { retry_after: LATE_RETRY_AFTER });
+    }
+
+    fn release_idle(self: &Arc<Self>, now: MonoTime) {
+        let leases = self.dispatch().endpoints.take_unused_leases(now - KEEP_IDLE);
+        for lease in leases {
+            self.release_lease(&lease);
+        }
+    }
+
+    /// Assumes a free slot where work waits and none is known, because other entries give slots back without notice.
+    fn seek_slots(&self, now: MonoTime) {
+        let mut dispatch = self.dispatch();
+        let waiting: Vec<_> =
+            dispatch.queues.iter().filter(|(_, queue)| !queue.is_empty()).map(|(pool, _)| pool.clone()).collect();
+        for pool in waiting {
+            if dispatch.slots(&pool, now).free == 0 {
+                dispatch.endpoints.assume_free_slot(&pool, now, &mut rand::rng());
+            }
+        }
+    }
+
+    fn renew_leases(self: &Arc<Self>, now: MonoTime) {
+        let mut by_worker: Map<SocketAddr, Vec<LeaseId>> = Map::default();
+        for (lease, held) in &self.dispatch().leases {
+            if now.since(held.renewed_at) >= RENEW_AFTER {
+                by_worker.entry(held.address).or_default().push(lease.clone());
+            }
+        }
+        for (address, leases) in by_worker {
+            task::spawn(Arc::clone(self).renew_at(address, leases));
+        }
+    }
+
+    async fn renew_at(self: Arc<Self>, address: SocketAddr, leases: Vec<LeaseId>) {
+        let sent = self.clock.now();
+        let Some(lapsed) = self.workers.renew(address, leases.clone()).await else { return };
+        let mut dispatch = self.dispatch();
+        for lease in leases {
+            if lapsed.contains(&lease) {
+                dispatch.leases.remove(&lease);
+            } else if let Some(held) = dispatch.leases.get_mut(&lease) {
+                held.renewed_at = held.renewed_at.max(sent);
+            }
+        }
+    }
+
+    /// Whether urgent work of a pool waits without a free slot.
+    #[must_use]
+    pub fn is_short_of_slots(&self, pool: &PoolId, now: MonoTime) -> bool {
+        let dispatch = self.dispatch();
+        let waits = dispatch.queues.get(pool).is_some_and(|queue| queue.count_waiting(Kind::Urgent) > 0);
+        waits && dispatch.slots(pool, now).free == 0
+    }
+}
--- a/crates/carawaybarrow/src/store.rs
+++ b/crates/carawaybarrow/src/store.rs
@@ -1,6 +1,7 @@
 //! The platform's key-value store.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::task;
@@ -14,6 +15,7 @@
 use snafu::Snafu;
 
 use crate::http_client::{Call, Client};
+use crate::metrics::{Metrics, StoreUse};
 
 /// Time after which a call to the store counts as lost; the store answers in milliseconds.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -103,6 +105,7 @@
 pub struct HttpStore {
     address: SocketAddr,
     client: Client,
+    metrics: Arc<Metrics>,
 }
 
 #[derive(Deserialize)]
@@ -124,8 +127,8 @@
 impl HttpStore {
     /// Creates a client.
     #[must_use]
-    pub const fn new(address: SocketAddr, client: Client) -> Self {
-        Self { address, client }
+    pub const fn new(address: SocketAddr, client: Client, metrics: Arc<Metrics>) -> Self {
+        Self { address, client, metrics }
     }
 
     async fn call(&self, call: Call, limit: Duration) -> Result<(u16, Vec<u8>), StoreError> {
@@ -157,10 +160,13 @@
 
 impl Store for HttpStore {
     fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Stored>, StoreError>> {
+        self.metrics.count_store_call(StoreUse::of_key(key), "read");
         Box::pin(self.read(Call::new(Method::Get, format!("/kv/{key}")), CALL_TIMEOUT))
     }
 
     fn put(&self, put: Put) -> BoxFuture<'_, Result<PutAnswer, StoreError>> {
+        let usage = if put.expect == IMPOSSIBLE_VERSION { StoreUse::Probe } else { StoreUse::of_key(&put.key) };
+        self.metrics.count_store_call(usage, "write");
         Box::pin(async move {
             let mut path = format!("/kv/{}?expect={}", put.key, put.expect);
             if let Some(lease) = &put.lease {
@@ -178,6 +184,7 @@
     }
 
     fn delete<'a>(&'a self, key: &'a str, expect: StoreVersion) -> BoxFuture<'a, Result<(), StoreError>> {
+        self.metrics.count_store_call(StoreUse::of_key(key), "write");
         Box::pin(async move {
             let call = Call::new(Method::Delete, format!("/kv/{key}?expect={expect}"));
             match self.call(call, CALL_TIMEOUT).await?.0 {
@@ -193,11 +200,13 @@
         after: StoreVersion,
         wait: Duration,
     ) -> BoxFuture<'a, Result<Option<Stored>, StoreError>> {
+        self.metrics.count_store_call(StoreUse::of_key(key), "watch");
         let path = format!("/watch/{key}?after={after}&wait_ms={}", wait.as_millis());
         Box::pin(self.read(Call::new(Method::Get, path), wait + CALL_TIMEOUT))
     }
 
     fn grant_lease(&self, ttl: Millis) -> BoxFuture<'_, Result<LeaseId, StoreError>> {
+        self.metrics.count_store_call(StoreUse::Lease, "write");
         Box::pin(async move {
             let call = Call::new(Method::Post, format!("/lease?ttl_ms={}", ttl.0));
             let (status, body) = self.call(call, CALL_TIMEOUT).await?;
@@ -209,6 +218,7 @@
     }
 
     fn renew_lease<'a>(&'a self, lease: &'a LeaseId) -> BoxFuture<'a, Result<(), StoreError>> {
+        self.metrics.count_store_call(StoreUse::Lease, "write");
         Box::pin(async move {
             let call = Call::new(Method::Post, format!("/lease/{lease}/renew"));
             match self.call(call, CALL_TIMEOUT).await?.0 {
@@ -220,6 +230,7 @@
     }
 
     fn revoke_lease<'a>(&'a self, lease: &'a LeaseId) -> BoxFuture<'a, Result<(), StoreError>> {
+        self.metrics.count_store_call(StoreUse::Lease, "write");
         Box::pin(async move {
             let call = Call::new(Method::Delete, format!("/lease/{lease}"));
             self.call(call, CALL_TIMEOUT).await.map(|_| ())
--- a/crates/carawaybarrow/src/worker.rs
+++ b/crates/carawaybarrow/src/worker.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use carawaybarrow_core::ids::{EntryId, Incarnation, LeaseId, QueueId, TaskId, TeamId};
+use carawaybarrow_core::ids::{Incarnation, LeaseId, QueueId, TaskId, TeamId};
+use carawaybarrow_core::job::Size;
 use carawaybarrow_core::units::Millis;
 use futures::future::BoxFuture;
 use http_types::Method;
@@ -94,8 +95,8 @@
     pub task: TaskId,
     /// Lease under which it runs.
     pub lease: LeaseId,
-    /// Entry that holds the lease.
-    pub entry: EntryId,
+    /// Holder of the lease.
+    pub entry: SmolStr,
     /// Team; absent on queues open to all.
     #[serde(default)]
     pub team: Option<TeamId>,
@@ -114,6 +115,9 @@
     pub draining: bool,
     /// Running tasks.
     pub tasks: Vec<RunningTask>,
+    /// Resources of the worker, if it reports them.
+    #[serde(default)]
+    pub size: Option<Size>,
 }
 
 /// A request to a running task.
@@ -140,8 +144,8 @@
 
 /// Workers as this process uses them.
 pub trait Workers: Send + Sync {
-    /// Asks for a lease on a slot.
-    fn lease(&self, address: SocketAddr, ttl: Millis) -> BoxFuture<'_, LeaseAnswer>;
+    /// Asks for a lease on a slot in the name of a holder.
+    fn lease<'a>(&'a self, address: SocketAddr, holder: &'a str, ttl: Millis) -> BoxFuture<'a, LeaseAnswer>;
 
     /// Renews leases; returns those that have lapsed, or `None` if the worker can't be reached.
     fn renew(&self, address: SocketAddr, leases: Vec<LeaseId>) -> BoxFuture<'_, Option<Vec<LeaseId>>>;
@@ -169,13 +173,12 @@
 /// Client of workers that speak HTTP.
 #[derive(Debug)]
 pub struct HttpWorkers {
-    entry: EntryId,
     client: Client,
 }
 
 #[derive(Serialize)]
 struct LeaseRequest<'a> {
-    entry: &'a EntryId,
+    entry: &'a str,
     ttl_ms: Millis,
 }
 
@@ -201,10 +204,10 @@
 }
 
 impl HttpWorkers {
-    /// Creates a client that acts for an entry.
+    /// Creates a client.
     #[must_use]
-    pub const fn new(entry: EntryId, client: Client) -> Self {
-        Self { entry, client }
+    pub const fn new(client: Client) -> Self {
+        Self { client }
     }
 
     async fn control(&self, address: SocketAddr, call: Call) -> Result<Reply, CallError> {
@@ -237,9 +240,9 @@
 }
 
 impl Workers for HttpWorkers {
-    fn lease(&self, address: SocketAddr, ttl: Millis) -> BoxFuture<'_, LeaseAnswer> {
+    fn lease<'a>(&'a self, address: SocketAddr, holder: &'a str, ttl: Millis) -> BoxFuture<'a, LeaseAnswer> {
         Box::pin(async move {
-            let body = to_json(&LeaseRequest { entry: &self.entry, ttl_ms: ttl });
+            let body = to_json(&LeaseRequest { entry: holder, ttl_ms: ttl });
             let reply = match self.control(address, Call::new(Method::Post, "/leases").with_body(body)).await {
                 Ok(reply) => reply,
                 Err(e) => return LeaseAnswer::Unreachable(e.to_string()),
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -40,7 +40,12 @@
         class("patient", Target::Eventually),
         Change::SetPool {
             id: pool(),
-            value: Pool { min_available: Percent::new(80).unwrap(), spare: false, deadline_windows: Vec::new() },
+            value: Pool {
+                min_available: Percent::new(80).unwrap(),
+                baseline: 0,
+                spare: false,
+                deadline_windows: Vec::new(),
+            },
         },
         queue("clips", "urgent", false, true),
         queue("masters", "urgent", false, false),
--- a/crates/testbed/src/cli/servers.rs
+++ b/crates/testbed/src/cli/servers.rs
@@ -88,6 +88,7 @@
         data_centre,
         rack,
         slots: value(args, "slots"),
+        size: Options::default().size,
         usage_lag: Duration::from_millis(value(args, "usage-lag-ms")),
         reboot: Duration::from_millis(value(args, "reboot-ms")),
     }
--- a/crates/testbed/src/worker/data.rs
+++ b/crates/testbed/src/worker/data.rs
@@ -295,7 +295,11 @@
         let usage = due.map_or((0.0, 0), |u| (u.cores, u.memory_mb));
         let tasks: Vec<Value> = self
             .running()
-            .map(|r| json!({ "task": r.new.task, "team": r.new.team, "queue": r.new.queue, "lease": r.new.lease }))
+            .map(|r| {
+                let entry = self.leases.get(&r.new.lease).map(|lease| &lease.entry);
+                json!({ "task": r.new.task, "team": r.new.team, "queue": r.new.queue, "lease": r.new.lease,
+                    "entry": entry })
+            })
             .collect();
         let leases: Vec<Value> = self.leases.iter().map(|(id, l)| json!({ "lease": id, "entry": l.entry })).collect();
         json!({
@@ -306,6 +310,7 @@
             "draining": self.is_draining,
             "tasks": tasks,
             "leases": leases,
+            "size": self.options.size,
             "usage": { "cores": usage.0, "memory_mb": usage.1 },
         })
     }
--- a/crates/testbed/src/worker/mod.rs
+++ b/crates/testbed/src/worker/mod.rs
@@ -10,6 +10,7 @@
 
 use std::time::Duration;
 
+use carawaybarrow_core::job::Size;
 use smol_str::SmolStr;
 
 /// Connections that a worker accepts for calls other than control calls.
@@ -26,6 +27,8 @@
     pub rack: SmolStr,
     /// Slots, each of which runs one task.
     pub slots: usize,
+    /// Resources of the VM.
+    pub size: Size,
     /// Lag of the reported usage.
     pub usage_lag: Duration,
     /// Time for which the worker is down in a reboot, unless the call says otherwise.
@@ -39,6 +42,7 @@
             data_centre: "dc1".into(),
             rack: "dc1-r1".into(),
             slots: 8,
+            size: Size { cores: 64, memory_mb: 128 * 1024, accelerators: 0 },
             usage_lag: Duration::from_secs(2),
             reboot: Duration::from_secs(2),
         }
