Say what is known of a job when a repeated request is refused

Conclusion: a caller repeats the same request until it learns the state; a request without an id is refused as before.

--- a/crates/carawaybarrow/src/dispatch.rs
+++ b/crates/carawaybarrow/src/dispatch.rs
@@ -89,6 +89,8 @@
     /// When a worker of the pool last had no free slot.
     pub full_at: Map<PoolId, MonoTime>,
     shares: Shares,
+    /// Teams of the last configuration.
+    teams: Vec<TeamId>,
     preempted_at: Map<PoolId, MonoTime>,
 }
 
@@ -125,12 +127,18 @@
             leases: Map::default(),
             full_at: Map::default(),
             shares: Shares::new([]),
+            teams: Vec::new(),
             preempted_at: Map::default(),
         }
     }
 
-    /// Takes shares and limits of a new configuration.
+    /// Takes shares and limits of a new configuration. A team that was removed has the limit 0.
     pub fn take_config(&mut self, config: &Config) {
+        let removed = self.teams.iter().filter(|team| !config.teams.contains_key(*team));
+        for team in removed {
+            self.permits.set_limit(team, TeamLimit { limit: 0, config_revision: config.revision });
+        }
+        self.teams = config.teams.keys().cloned().collect();
         self.shares = Shares::new(config.teams.iter().map(|(id, team)| (id.clone(), team.value.share)));
         for queue in self.queues.values_mut() {
             queue.set_shares(self.shares.clone());
--- a/crates/carawaybarrow/src/front.rs
+++ b/crates/carawaybarrow/src/front.rs
@@ -5,7 +5,7 @@
 use carawaybarrow_core::admission::{self, Request, Verdict, View};
 use carawaybarrow_core::finding::Findings;
 use carawaybarrow_core::ids::{ClassId, JobId};
-use carawaybarrow_core::job::{Content, JobSpec, Ran, Refusal, Size};
+use carawaybarrow_core::job::{self, Content, JobSpec, Ran, Refusal, Size};
 use carawaybarrow_core::journal::{JobCommand, JobOutcome, JobView, Rejection, StateName};
 use carawaybarrow_core::keys::KeyHash;
 use carawaybarrow_core::map::Map;
@@ -22,6 +22,10 @@
 use crate::shards::SubmitError;
 use crate::urgent::Answer;
 
+/// What a caller is told whose request can't be accepted, while the journal can't be read.
+const EARLIER_REQUEST: &str = "this request was not accepted, but the journal can't be read, and an earlier request with \
+                               the same id may have been accepted; send the same request again";
+
 /// Request of the HTTP server.
 pub type HttpRequest = tide::Request<Arc<Entry>>;
 
@@ -132,12 +136,17 @@
             }
             Verdict::Durable(spec) => {
                 let class = spec.class.clone();
-                let (res, ran) = self.take_durable(spec, submission.payload).await;
+                let repeatable = submission.request_id.is_some();
+                let (res, ran) = self.take_durable(spec, submission.payload, repeatable).await;
                 (Some(class), res, ran)
             }
             Verdict::Refuse(refusal) => {
                 let class = self.find_class(&held, &submission.queue);
-                (class, describe_refusal(&refusal), Ran::No)
+                let (res, ran) = match self.find_earlier(&held, &submission, key.as_ref()) {
+                    Some(job) => self.refuse_repeated(&job, &refusal).await,
+                    None => (describe_refusal(&refusal), Ran::No),
+                };
+                (class, res, ran)
             }
         }
     }
@@ -194,7 +203,34 @@
         admission::admit(&request, &view)
     }
 
-    async fn take_durable(self: &Arc<Self>, spec: JobSpec, payload: String) -> (Response, Ran) {
+    /// The job that an earlier request with the same id made, if there can be one: the queue's jobs are durable, and
+    /// the caller may know the job.
+    fn find_earlier(&self, held: &Held, submission: &Submission, key: Option<&KeyHash>) -> Option<JobId> {
+        let request_id = submission.request_id.as_ref()?;
+        let id = submission.queue.parse().ok()?;
+        let queue = &held.config.queues.get(&id)?.value;
+        let class = &held.config.classes.get(&queue.class)?.value;
+        if !admission::is_durable(queue, class) {
+            return None;
+        }
+        let team = if queue.open_to_all { None } else { Some(held.find_team(key?)?) };
+        Some(job::derive_job_id(team, &id, request_id))
+    }
+
+    /// Answers a refused request whose id may belong to a job that was accepted earlier. "Not run" is said only if the
+    /// journal was read and doesn't have the job.
+    async fn refuse_repeated(self: &Arc<Self>, job: &JobId, refusal: &Refusal) -> (Response, Ran) {
+        match self.get_job(job).await {
+            Ok(Some(status)) => {
+                let ran = status.view.ran;
+                (self.describe_job(job, status.view).await.1, ran)
+            }
+            Ok(None) => (describe_refusal(refusal), Ran::No),
+            Err(_) => (describe_unknown(job, EARLIER_REQUEST), Ran::Unknown),
+        }
+    }
+
+    async fn take_durable(self: &Arc<Self>, spec: JobSpec, payload: String, repeatable: bool) -> (Response, Ran) {
         let job = spec.id.clone();
         match self.accept_durable(spec, payload).await {
             Ok(JobOutcome::Accepted) => {
@@ -218,6 +254,9 @@
                 log::error!(job:% = job, outcome:? = other; "unexpected outcome of an acceptance");
                 (describe_unknown(&job, "the journal gave an unexpected outcome"), Ran::Unknown)
             }
+            Err(SubmitError::NotWritten { .. } | SubmitError::NotOwner) if repeatable => {
+                self.refuse_repeated(&job, &Refusal::StoreUnavailable).await
+            }
             Err(SubmitError::NotWritten { .. } | SubmitError::NotOwner) => {
                 (describe_refusal(&Refusal::StoreUnavailable), Ran::No)
             }
--- a/crates/carawaybarrow/src/quota_sync.rs
+++ b/crates/carawaybarrow/src/quota_sync.rs
@@ -1,10 +1,12 @@
 //! Permits of this entry, and the reclaim of those of departed entries.
 
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_std::task;
+use async_std::net::TcpStream;
+use async_std::{future, task};
 use carawaybarrow_core::commit::{Commit, Document};
 use carawaybarrow_core::ids::{EntryId, Incarnation, ShardId, StoreVersion, TeamId};
 use carawaybarrow_core::membership::MembersCommand;
@@ -23,6 +25,9 @@
 /// Interval at which the document is read, to see the wants of others and lowered limits.
 const READ_INTERVAL: Millis = Millis(1_000);
 
+/// Time to connect to a departed entry.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
 /// Interval at which departed entries are looked at.
 const RECLAIM_INTERVAL: Millis = Millis(2_000);
 
@@ -86,6 +91,7 @@
     }
 
     async fn reclaim_departed(&self) {
+        self.look_for_ended_processes().await;
         let now = self.clock.now();
         let reclaimable: Vec<_> = {
             let members = self.holder.members();
@@ -106,6 +112,19 @@
         self.remove_silent().await;
     }
 
+    /// Notes departed processes whose address refuses connections: the process has ended.
+    async fn look_for_ended_processes(&self) {
+        let departed = self.holder.members().members.departed.clone();
+        for process in departed {
+            let connect = future::timeout(CONNECT_LIMIT, TcpStream::connect(process.peer_address)).await;
+            let is_refused = matches!(connect, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused);
+            if is_refused {
+                let now = self.clock.now();
+                self.freshness().confirmations_mut().take_refused(&process.entry, process.incarnation, now);
+            }
+        }
+    }
+
     async fn reclaim(&self, entry: EntryId, incarnation: Incarnation) {
         let keep = self.fleet.count_tasks(&lease_holder(&entry, incarnation));
         let is_done = keep.is_empty();
--- a/crates/carawaybarrow/tests/path.rs
+++ b/crates/carawaybarrow/tests/path.rs
@@ -113,3 +113,24 @@
     assert_eq!(cluster.call(0, Method::Get, &path, CLINIC_SECRET, "").await.status, 200);
     assert_eq!(cluster.call(0, Method::Get, &path, "club-secret-0123456", "").await.status, 404);
 }
+
+/// Guards against "not run" for a request whose first sending was accepted before an outage of the store.
+#[async_std::test]
+async fn repeated_request_during_an_outage_is_not_called_not_run() {
+    let cluster = Cluster::start("repeat-outage", 2, 1).await;
+    cluster.configure(50).await;
+    let payload = job("masters", "before", 60_000).payload;
+    let body = json!({ "queue": "masters", "request_id": "before", "payload": payload }).to_string();
+    let accepted = cluster.call(0, Method::Post, "/v1/jobs", CLINIC_SECRET, &body).await;
+    assert_eq!(accepted.status, 202, "{}", accepted.text());
+    cluster::control(cluster.store, "outage", &json!({ "mode": "refuse" })).await;
+    for i in 0..2 {
+        poll_until("the entry notices the outage", || async {
+            (cluster.status(i).await["store_reachable"] == false).then_some(())
+        })
+        .await;
+        let repeated = cluster.call(i, Method::Post, "/v1/jobs", CLINIC_SECRET, &body).await;
+        let answer: Value = repeated.json().expect("JSON");
+        assert!(answer["state"].is_string() || answer["ran"] == "unknown", "{answer}");
+    }
+}
--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -16,8 +16,8 @@
 /// Longest time for which evidence of a current configuration may be used.
 pub const FRESHNESS_BOUND: Millis = Millis(5_000);
 
-/// Time between two probes of the store.
-pub const PROBE_INTERVAL: Millis = Millis(1_000);
+/// Time between two probes of the store. Each takes two writes, and the budget for nine entries is 10 a second.
+pub const PROBE_INTERVAL: Millis = Millis(2_000);
 
 /// Time between two heartbeats to a peer.
 pub const HEARTBEAT_INTERVAL: Millis = Millis(500);
