--- a/crates/carawaybarrow/src/change_file.rs
+++ b/crates/carawaybarrow/src/change_file.rs
@@ -7,7 +7,6 @@
 use carawaybarrow_core::config::{Change, Class, Key, Pool, Queue, Team};
 use carawaybarrow_core::finding::Findings;
 use carawaybarrow_core::ids::Revision;
-use jsonc_parser::ParseOptions;
 use jsonc_parser::ast::{Object, ObjectProp, Value};
 use jsonc_parser::common::{Range, Ranged};
 use serde::Deserialize;
@@ -83,7 +82,7 @@
     /// Returns all problems, each with the name, line and column.
     pub fn parse(name: String, text: String) -> Result<Self, Findings> {
         let mut findings = Findings::new();
-        let parsed = jsonc_parser::parse_to_ast(&text, &Default::default(), &ParseOptions::default());
+        let parsed = jsonc_parser::parse_to_ast(&text, &Default::default(), &settings::PARSE_OPTIONS);
         let value = match parsed {
             Ok(parsed) => parsed.value,
             Err(e) => {
--- a/crates/carawaybarrow/src/settings.rs
+++ b/crates/carawaybarrow/src/settings.rs
@@ -24,6 +24,23 @@
 /// Bounds and default of the time between the announcement of a stop and its start.
 const DRAIN_DELAY: (Millis, Millis, Millis) = (Millis(0), Millis::from_secs(60), Millis::from_secs(2));
 
+/// Finding for a text that is not an address.
+const EXPECTED_ADDRESS: &str = "expected an address such as 10.0.0.1:8081";
+
+/// JSON with comments and trailing commas, and nothing else that the parser would let pass.
+pub(crate) const PARSE_OPTIONS: ParseOptions = ParseOptions {
+    allow_comments: true,
+    allow_trailing_commas: true,
+    allow_loose_object_property_names: false,
+    allow_missing_commas: false,
+    allow_single_quoted_strings: false,
+    allow_hexadecimal_numbers: false,
+    allow_unary_plus_numbers: false,
+    allow_bare_decimal_point_numbers: false,
+    allow_extended_string_escapes: false,
+    allow_non_finite_numbers: false,
+};
+
 /// An operator and the hash of the operator's key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Operator {
@@ -84,7 +101,7 @@
     /// Returns all problems of the text, each with its line and column.
     pub fn parse(text: &str) -> Result<Self, Findings> {
         let mut findings = Findings::new();
-        let parsed = jsonc_parser::parse_to_ast(text, &Default::default(), &ParseOptions::default());
+        let parsed = jsonc_parser::parse_to_ast(text, &Default::default(), &PARSE_OPTIONS);
         let value = match parsed {
             Ok(parsed) => parsed.value,
             Err(e) => {
@@ -110,22 +127,17 @@
     // Every field is read before the first missing one ends the function, so that all problems are reported.
     let entry = reader.read_text("entry", true);
     let data_centre = reader.read_text("data_centre", true);
-    let callers = reader.read_text::<SocketAddr>("callers", true);
-    let peers = reader.read_text("peers", true);
-    let store = reader.read_text("store", true);
-    let vm_list = reader.read_text("vm_list", true);
+    let callers = reader.read_address("callers");
+    let peers = reader.read_address("peers");
+    let store = reader.read_address("store");
+    let vm_list = reader.read_address("vm_list");
     let seeds = reader.read_list("seeds");
     let operators = read_operators(reader);
     let job_shards = reader.read_number("job_shards", JOB_SHARDS);
     let body_bytes = reader.read_number("body_bytes", BODY_BYTES);
     let outage_limit = reader.read_duration("outage_limit", OUTAGE_LIMIT);
     let drain_delay = reader.read_duration("drain_delay", DRAIN_DELAY);
-    if let (Some(callers), Some(peers)) = (callers, peers)
-        && callers == peers
-        && callers.port() != 0
-    {
-        reader.add("peers", "callers and peers need different addresses");
-    }
+    check_addresses(reader, [("callers", callers), ("peers", peers), ("store", store), ("vm_list", vm_list)]);
     Some(Settings {
         entry: entry?,
         data_centre: data_centre?,
@@ -142,16 +154,41 @@
     })
 }
 
+/// Checks that other processes can be reached at their addresses, and that no two servers share one.
+fn check_addresses(reader: &mut Reader<'_, '_>, addresses: [(&'static str, Option<SocketAddr>); 4]) {
+    for (i, (name, address)) in addresses.iter().enumerate() {
+        let Some(address) = address else { continue };
+        let is_own = matches!(*name, "callers" | "peers");
+        if !is_own && address.port() == 0 {
+            reader.add(name, "port 0 can't be reached");
+            continue;
+        }
+        // Callers come through the balancer, but peers use the address that the member list says.
+        if *name != "callers" && address.ip().is_unspecified() {
+            let message = if is_own { "other entries can't reach" } else { "nothing can be reached at" };
+            reader.add(name, &format!("{message} {}; use the address of the VM", address.ip()));
+        }
+        let is_same = |other: &&(&str, Option<SocketAddr>)| other.1 == Some(*address) && address.port() != 0;
+        if let Some((other, _)) = addresses[..i].iter().find(is_same) {
+            reader.add(name, &format!("{other} and {name} need different addresses"));
+        }
+    }
+}
+
 fn read_operators(reader: &mut Reader<'_, '_>) -> Vec<Operator> {
+    let none = "at least one operator is needed, or nobody can change the configuration";
     let Some(prop) = reader.find("operators") else {
-        reader.add("operators", "at least one operator is needed, or nobody can change the configuration");
+        reader.add("operators", none);
         return Vec::new();
     };
     let Value::Array(array) = &prop.value else {
         reader.add_at(prop.value.range().start, "operators: expected a list of objects");
         return Vec::new();
     };
-    let mut operators = Vec::new();
+    if array.elements.is_empty() {
+        reader.add("operators", none);
+    }
+    let mut operators: Vec<Operator> = Vec::new();
     for element in &array.elements {
         let Value::Object(object) = element else {
             reader.add_at(element.range().start, "operators: expected an object with name and key_sha256");
@@ -162,6 +199,13 @@
         let key_sha256 = inner.read_hash("key_sha256");
         inner.report_unknown();
         if let (Some(name), Some(key_sha256)) = (name, key_sha256) {
+            let start = object.range.start;
+            if operators.iter().any(|o| o.name == name) {
+                reader.add_at(start, &format!("operators: {name} is listed twice"));
+            } else if let Some(other) = operators.iter().find(|o| o.key_sha256 == key_sha256) {
+                // With one key for two names, the records would not tell who made a change.
+                reader.add_at(start, &format!("operators: {} has the same key", other.name));
+            }
             operators.push(Operator { name, key_sha256 });
         }
     }
@@ -215,6 +259,15 @@
         }
     }
 
+    fn read_address(&mut self, name: &'static str) -> Option<SocketAddr> {
+        let text = self.read_text::<String>(name, true)?;
+        let address = text.parse().ok();
+        if address.is_none() {
+            self.add(name, EXPECTED_ADDRESS);
+        }
+        address
+    }
+
     fn read_hash(&mut self, name: &'static str) -> Option<KeyHash> {
         let text = self.read_text::<String>(name, true)?;
         match KeyHash::try_from(smol_str::SmolStr::new(text)) {
@@ -234,13 +287,16 @@
         };
         let mut addresses = Vec::new();
         for element in &array.elements {
-            let parsed = element.as_string_lit().and_then(|text| text.value.parse().ok());
-            match parsed {
-                Some(address) => addresses.push(address),
-                None => {
-                    self.add_at(element.range().start, &format!("{name}: expected an address such as 10.0.0.1:8081"))
+            let parsed: Option<SocketAddr> = element.as_string_lit().and_then(|text| text.value.parse().ok());
+            let message = match parsed {
+                Some(address) if address.port() == 0 => "port 0 can't be reached",
+                Some(address) => {
+                    addresses.push(address);
+                    continue;
                 }
-            }
+                None => EXPECTED_ADDRESS,
+            };
+            self.add_at(element.range().start, &format!("{name}: {message}"));
         }
         addresses
     }
