Test the command line against an installation

The commands had no tests. Cover a lost race with both values, a file with several faults that changes nothing, an application that is repeated, a key that is given and withdrawn, a withdrawal with outstanding entries, and the exit codes. The test stops two of three now, and `key withdraw` names the entries that have not confirmed a withdrawal that is in force.

--- a/crates/carawaybarrow/src/command_key.rs
+++ b/crates/carawaybarrow/src/command_key.rs
@@ -69,10 +69,18 @@
     // Without the key here, the entry may be behind; the document in the store decides.
     let expected = config.current(&change).map(|(_, modified)| modified);
     let accepted = client.change(&change, expected)?;
-    let (revision, waited) = (accepted.revision, accepted.waited_ms);
+    let (revision, waited, silent) = (accepted.revision, accepted.waited_ms, accepted.outstanding.clone());
     check_in_force(accepted)?;
-    let shown = json!({ "key": id, "revision": revision, "in_force": true, "waited_ms": waited });
-    output.print(&shown, || format!("key {id} is withdrawn at all entries, revision {revision}, after {waited} ms\n"))
+    let shown =
+        json!({ "key": id, "revision": revision, "in_force": true, "waited_ms": waited, "outstanding": silent });
+    output.print(&shown, || {
+        let mut text = format!("key {id} is withdrawn and in force, revision {revision}, after {waited} ms\n");
+        // The others are no majority any more, so such an entry can't confirm its keys and starts no keyed work.
+        for entry in &silent {
+            text.push_str(&format!("entry {entry} has not confirmed it, and starts no keyed work until it does\n"));
+        }
+        text
+    })
 }
 
 /// Fails if a change is accepted but not yet in force.
--- a/crates/carawaybarrow/tests/cluster/mod.rs
+++ b/crates/carawaybarrow/tests/cluster/mod.rs
@@ -26,7 +26,7 @@
 const ANY: ([u8; 4], u16) = ([127, 0, 0, 1], 0);
 
 /// Secret of the operator of all entries.
-const OPERATOR_SECRET: &str = "operator-secret-for-tests";
+pub const OPERATOR_SECRET: &str = "operator-secret-for-tests";
 
 /// Polls until the probe gives a value.
 pub async fn poll_until<T, F: Future<Output = Option<T>>>(what: &str, mut probe: impl FnMut() -> F) -> T {
