--- a/crates/carawaybarrow/src/command_serve.rs
+++ b/crates/carawaybarrow/src/command_serve.rs
@@ -70,5 +70,6 @@
     }
     findings.into_result(()).map_err(Failure::Invalid)?;
     let entry = settings.map(|s| s.entry.to_string()).unwrap_or_default();
-    output.print(&json!({ "entry": entry, "valid": true }), || format!("the settings of {entry} are valid\n"))
+    let what = if args.contains_id("configuration") { " and the configuration are" } else { " are" };
+    output.print(&json!({ "entry": entry, "valid": true }), || format!("the settings of {entry}{what} valid\n"))
 }
