--- a/crates/carawaybarrow/tests/cluster/mod.rs
+++ b/crates/carawaybarrow/tests/cluster/mod.rs
@@ -1,12 +1,15 @@
 //! A small installation: stand-ins for the platform in the test's process, entries as processes of their own.
 #![allow(dead_code, reason = "each test file uses some of the helpers")]
 
+use std::collections::BTreeMap;
 use std::fs::File;
 use std::future::Future;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use async_std::task;
@@ -22,6 +25,15 @@
 /// Time within which a condition has to come true.
 pub const BOUND: Duration = Duration::from_secs(30);
 
+/// Entry processes of one test file that run at the same time; further clusters wait for their turn.
+const MAX_ENTRIES: usize = 12;
+
+/// Entry processes that clusters of this test file have reserved.
+static RESERVED: Mutex<usize> = Mutex::new(0);
+
+/// Tells waiting clusters that one has ended.
+static ENDED: Condvar = Condvar::new();
+
 /// Any free port of the loopback interface.
 const ANY: ([u8; 4], u16) = ([127, 0, 0, 1], 0);
 
@@ -53,6 +65,29 @@
     assert_eq!(reply.status, 200, "{name}: {}", reply.text());
 }
 
+/// The right to run entry processes. It blocks the thread of its test only.
+struct Turn {
+    entries: usize,
+}
+
+impl Turn {
+    fn wait(entries: usize) -> Self {
+        let mut reserved = RESERVED.lock().unwrap_or_else(PoisonError::into_inner);
+        while *reserved > 0 && *reserved + entries > MAX_ENTRIES {
+            reserved = ENDED.wait(reserved).unwrap_or_else(PoisonError::into_inner);
+        }
+        *reserved += entries;
+        Self { entries }
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        *RESERVED.lock().unwrap_or_else(PoisonError::into_inner) -= self.entries;
+        ENDED.notify_all();
+    }
+}
+
 /// An entry process. It is killed when the test ends.
 pub struct Entry {
     pub name: String,
@@ -114,6 +149,8 @@
     pub tally: Tally,
     client: Client,
     dir: PathBuf,
+    // The last field, so that it is dropped after the entries.
+    _turn: Turn,
 }
 
 impl Cluster {
@@ -124,6 +161,7 @@
 
     /// Starts stand-ins and entries.
     pub async fn start_with(name: &str, entries: usize, workers: usize, limits: Limits) -> Self {
+        let turn = Turn::wait(entries);
         let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a directory for settings and logs");
         let store = store::start(ANY.into(), limits).await.expect("a free port");
@@ -135,7 +173,7 @@
         let addresses = listed.iter().map(|vm| vm.address).collect();
         let vms = vms::start(ANY.into(), listed, Duration::from_millis(500)).await.expect("a free port");
         let client = Client::new().with_timeout(Duration::from_secs(20));
-        let mut cluster = Self { store, vms, workers: addresses, entries: Vec::new(), tally, client, dir };
+        let mut cluster = Self { store, vms, workers: addresses, entries: Vec::new(), tally, client, dir, _turn: turn };
         for i in 0..entries {
             cluster.add_entry(&format!("e{}", i + 1), &json!({}));
         }
@@ -248,13 +286,60 @@
 
     /// How often jobs with this mark were started on all workers.
     pub async fn count_starts(&self, mark: &str) -> usize {
-        let mut count = 0;
+        self.starts().await.get(mark).copied().unwrap_or(0)
+    }
+
+    /// How often jobs were started on all workers, by mark.
+    pub async fn starts(&self) -> BTreeMap<String, usize> {
+        let mut counts = BTreeMap::new();
         for worker in &self.workers {
             let reply = self.client.get(*worker, "/control/starts").await.expect("an answer");
             let starts: Vec<Value> = reply.json().expect("JSON");
-            count += starts.iter().filter(|start| start["mark"] == mark).count();
+            for mark in starts.iter().filter_map(|start| start["mark"].as_str()) {
+                *counts.entry(mark.to_owned()).or_default() += 1;
+            }
         }
-        count
+        counts
+    }
+
+    /// Tasks of a team that run on all workers together now.
+    pub fn running(&self, team: &str) -> u64 {
+        self.tally.show().get(team).map_or(0, |running| running.now)
+    }
+
+    /// Submits jobs again and again until the flood is ended. Each caller uses all entries.
+    pub fn flood(&self, callers: usize, make: impl Fn(usize) -> Job + Send + Sync + 'static) -> Flood {
+        self.flood_with(&self.caller(CLINIC_SECRET), callers, make)
+    }
+
+    /// Like [`Self::flood`] with callers like the given one.
+    pub fn flood_with(
+        &self,
+        caller: &Caller,
+        callers: usize,
+        make: impl Fn(usize) -> Job + Send + Sync + 'static,
+    ) -> Flood {
+        let (stop, make, next) = (Arc::new(AtomicBool::new(false)), Arc::new(make), Arc::new(AtomicUsize::new(0)));
+        let tasks = (0..callers)
+            .map(|_| {
+                let caller = caller.clone();
+                let (stop, make, next) = (Arc::clone(&stop), Arc::clone(&make), Arc::clone(&next));
+                task::spawn(async move {
+                    let mut outcomes = Vec::new();
+                    while !stop.load(Ordering::Relaxed) {
+                        let job = make(next.fetch_add(1, Ordering::Relaxed));
+                        let outcome = caller.submit(&job).await;
+                        if !matches!(outcome, Outcome::Served) {
+                            // A refused caller doesn't come back at once.
+                            task::sleep(Duration::from_millis(20)).await;
+                        }
+                        outcomes.push((job, outcome));
+                    }
+                    outcomes
+                })
+            })
+            .collect();
+        Flood { stop, tasks }
     }
 
     /// Most running tasks of a team at any time on all workers together.
@@ -265,6 +350,24 @@
     }
 }
 
+/// Callers that submit jobs until they are told to end.
+pub struct Flood {
+    stop: Arc<AtomicBool>,
+    tasks: Vec<task::JoinHandle<Vec<(Job, Outcome)>>>,
+}
+
+impl Flood {
+    /// Ends the flood and returns the jobs and their outcomes.
+    pub async fn end(self) -> Vec<(Job, Outcome)> {
+        self.stop.store(true, Ordering::Relaxed);
+        let mut outcomes = Vec::new();
+        for handle in self.tasks {
+            outcomes.extend(handle.await);
+        }
+        outcomes
+    }
+}
+
 /// Secret of the key of the team `clinic`.
 pub const CLINIC_SECRET: &str = "clinic-secret-0123";
 
