Settle owner keys whose write or removal got no answer

Cause: an entry that takes a job shard creates owner/jobs-N under its store lease. If the store does that and the answer is lost, the entry doesn't count itself as owner, but goes on renewing the lease. The key stays, each further attempt of any entry meets a conflict, and the shard has no owner until that process ends. The same holds for the removal of the key when a shard is given to another entry. Jobs of such shards were accepted by direct writes and stayed waiting.

Ruled out, by the states of all entries when a job had not ended: no permit and no slot lease was in use, 32 slots were free, no job waited in a queue, all entries were fresh and reached the store.

Change: the owner key holds a value that differs between attempts. A lost write is remembered and repeated with its value; if the key then exists with that value, the entry owns the shard. A removal is repeated until the store answers.

--- a/crates/carawaybarrow/src/shards.rs
+++ b/crates/carawaybarrow/src/shards.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
-use crate::entry::Entry;
+use crate::entry::{self, Entry};
 use crate::peer::PeerError;
 use crate::store::{self, CommitError, Committed, Put, PutAnswer, StoreError};
 
@@ -92,6 +92,11 @@
     owned: BTreeMap<ShardId, Owned>,
     /// Since when a shard has been without an owner, as far as this entry knows.
     orphaned: BTreeMap<ShardId, MonoTime>,
+    /// Values of writes of owner keys whose answer was lost. Such a write may have taken effect, and renewals of the
+    /// lease would then keep a key that no entry acts on.
+    taking: BTreeMap<ShardId, String>,
+    /// Versions of owner keys that are to be deleted, until the store has answered.
+    releasing: BTreeMap<ShardId, StoreVersion>,
 }
 
 /// The shards that this entry owns.
@@ -164,7 +169,10 @@
 
     fn drop_all(&self) {
         let mut state = self.lock();
+        // The keys end with the lease.
         state.lease = None;
+        state.taking.clear();
+        state.releasing.clear();
         let dropped = std::mem::take(&mut state.owned);
         drop(state);
         for pending in dropped.into_values().flat_map(|owned| owned.pending) {
@@ -338,22 +346,35 @@
 
     async fn take_shards(self: &Arc<Self>) {
         for shard in self.find_free_shards() {
-            let lease = self.shards.lock().lease.clone();
-            let Some(lease) = lease else { return };
-            let put = Put {
-                key: owner_key(shard),
-                expect: StoreVersion(0),
-                bytes: self.settings.entry.as_str().as_bytes().to_vec(),
-                lease: Some(lease),
+            let (lease, lost) = {
+                let state = self.shards.lock();
+                (state.lease.clone(), state.taking.get(&shard).cloned())
             };
+            let Some(lease) = lease else { return };
+            // A repeated write has the value of the lost one, so that either of them is recognized.
+            let value = lost.unwrap_or_else(|| format!("{} {}", self.settings.entry, entry::new_id()));
+            let bytes = value.clone().into_bytes();
+            let put = Put { key: owner_key(shard), expect: StoreVersion(0), bytes, lease: Some(lease) };
             match self.store.put(put).await {
                 Ok(PutAnswer::Written(owner_version)) => self.start_owning(shard, owner_version).await,
-                Ok(PutAnswer::Conflict(_)) => {}
+                Ok(PutAnswer::Conflict(version)) => self.settle_lost_take(shard, version).await,
+                Err(StoreError::Lost) => drop(self.shards.lock().taking.insert(shard, value)),
                 Err(_) => return,
             }
         }
     }
 
+    /// Starts to own a shard if the key that exists was written by this entry and only the answer was lost.
+    async fn settle_lost_take(self: &Arc<Self>, shard: ShardId, version: StoreVersion) {
+        let Some(value) = self.shards.lock().taking.get(&shard).cloned() else { return };
+        let Ok(Some(stored)) = self.store.get(&owner_key(shard)).await else { return };
+        if stored.bytes == value.as_bytes() {
+            self.start_owning(shard, stored.version).await;
+        } else if stored.version >= version {
+            self.shards.lock().taking.remove(&shard);
+        }
+    }
+
     /// Shards that this entry should try to take now.
     fn find_free_shards(&self) -> Vec<ShardId> {
         let now = self.clock.now();
@@ -361,8 +382,8 @@
         let mut state = self.shards.lock();
         let mut free = Vec::new();
         for shard in (0..self.shards.count).map(ShardId) {
-            let is_owned = state.owned.contains_key(&shard);
-            if is_owned || self.peers.find_owner(shard, now, OWNER_SILENCE).is_some() {
+            let is_own = state.owned.contains_key(&shard) || state.releasing.contains_key(&shard);
+            if is_own || self.peers.find_owner(shard, now, OWNER_SILENCE).is_some() {
                 state.orphaned.remove(&shard);
                 continue;
             }
@@ -390,7 +411,11 @@
 
     async fn start_owning(self: &Arc<Self>, shard: ShardId, owner_version: StoreVersion) {
         let owned = Owned { owner_version, ..Owned::default() };
-        self.shards.lock().owned.insert(shard, owned);
+        {
+            let mut state = self.shards.lock();
+            state.taking.remove(&shard);
+            state.owned.insert(shard, owned);
+        }
         log::info!(shard:% = shard; "job shard owned");
         self.refresh_shard(shard).await;
     }
@@ -403,11 +428,18 @@
             let found = state.owned.iter().rev().find(|(_, owned)| idle(owned));
             found.filter(|_| state.owned.len() > part).map(|(shard, owned)| (*shard, owned.owner_version))
         };
-        let Some((shard, version)) = surplus else { return };
-        self.shards.lock().owned.remove(&shard);
-        // If the call is lost, the key stays until the lease ends or this entry takes the shard again.
-        if self.store.delete(&owner_key(shard), version).await.is_ok() {
-            log::info!(shard:% = shard; "job shard given to another entry");
+        if let Some((shard, version)) = surplus {
+            let mut state = self.shards.lock();
+            state.owned.remove(&shard);
+            state.releasing.insert(shard, version);
+        }
+        let releasing = self.shards.lock().releasing.clone();
+        for (shard, version) in releasing {
+            // If the call is lost, the next look repeats it; otherwise renewals of the lease would keep the key.
+            if self.store.delete(&owner_key(shard), version).await.is_ok() {
+                self.shards.lock().releasing.remove(&shard);
+                log::info!(shard:% = shard; "job shard given to another entry");
+            }
         }
     }
 
