Test that masters run at most once under faults of processes

Each accepted job ends as done, failed or unknown within 35 s of the last fault; each mark has at most one start; a job reported as not run has none.

--- /dev/null
+++ b/crates/carawaybarrow/tests/at_most_once.rs
@@ -0,0 +1,182 @@
+//! A job that is not idempotent runs at most once (I7), and no accepted job disappears.
+
+mod cluster;
+
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use carawaybarrow_core::job::derive_job_id;
+use carawaybarrow_testbed::submit::{Caller, Job, Outcome};
+use cluster::{CLINIC_SECRET, Cluster, Flood, control, named};
+use http_types::Method;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{Value, json};
+
+/// Callers of a flood.
+const CALLERS: usize = 12;
+
+/// Lifetime of the lease of an owner of job shards (design, section 3).
+const OWNER_LEASE_TTL: Duration = Duration::from_secs(5);
+
+/// Time within which accepted jobs end after the last fault. A claim without a start ends once its lease of 15 s has
+/// lapsed (design, section 6), which is counted from the change of the owner (5 s).
+const END_BOUND: Duration = Duration::from_secs(35);
+
+async fn start(name: &str) -> Cluster {
+    let cluster = Cluster::start(name, 3, 4).await;
+    cluster.configure(50).await;
+    cluster
+}
+
+/// Submits masters with run times from 20 to 300 ms. The callers follow no job: `check` does so after the faults.
+fn flood(cluster: &Cluster) -> Flood {
+    let caller = Caller::new(&cluster.callers()).with_key(Some(CLINIC_SECRET.to_owned()));
+    cluster.flood_with(&caller, CALLERS, |i| named("masters", &format!("m{i}"), 20 + (i as u64 * 37) % 280))
+}
+
+fn job_id(job: &Job) -> String {
+    let (team, queue) = ("clinic".parse().unwrap(), job.queue.parse().unwrap());
+    derive_job_id(Some(&team), &queue, job.request_id.as_deref().unwrap()).to_string()
+}
+
+/// The last state of a job at the first entry.
+async fn find_state(cluster: &Cluster, id: &str) -> (u16, Value) {
+    let reply = cluster.call(0, Method::Get, &format!("/v1/jobs/{id}"), CLINIC_SECRET, "").await;
+    (reply.status, reply.json().unwrap_or_default())
+}
+
+/// Waits for the end of all accepted jobs and compares the outcomes with the starts at the workers.
+async fn check(cluster: &Cluster, outcomes: &[(Job, Outcome)]) {
+    let ends = Instant::now() + END_BOUND;
+    let mut ended = Vec::new();
+    for (job, outcome) in outcomes {
+        let (mark, id) = (job.request_id.as_deref().unwrap(), job_id(job));
+        let state = loop {
+            let (status, shown) = find_state(cluster, &id).await;
+            let state = shown["state"].as_str().unwrap_or("none").to_owned();
+            let is_over = match status {
+                200 => ["done", "failed", "unknown"].contains(&state.as_str()),
+                // A job whose acceptance was not confirmed need not be there.
+                404 => matches!(outcome, Outcome::NotRun { .. } | Outcome::Unknown { .. }),
+                _ => false,
+            };
+            if is_over {
+                break state;
+            }
+            if Instant::now() >= ends {
+                let entries = [cluster.status(0).await, cluster.status(1).await, cluster.status(2).await];
+                panic!("{mark} has not ended after {END_BOUND:?}: {status} {shown}, {outcome:?}, {entries:?}");
+            }
+            task::sleep(Duration::from_millis(50)).await;
+        };
+        ended.push((mark.to_owned(), state, outcome));
+    }
+    let starts = cluster.starts().await;
+    let mut counts = std::collections::BTreeMap::<_, usize>::new();
+    for (mark, state, outcome) in ended {
+        let started = starts.get(&mark).copied().unwrap_or(0);
+        assert!(started <= 1, "{mark} was started {started} times: {state}, {outcome:?}");
+        assert!(state != "done" || started == 1, "{mark} is done without a start");
+        assert!(state != "none" || started == 0, "{mark} was started and is not in the journal: {outcome:?}");
+        let is_refused = matches!(outcome, Outcome::NotRun { .. });
+        assert!(!is_refused || started == 0, "{mark} was reported as not run and started: {outcome:?}");
+        assert_ne!(*outcome, Outcome::WrongAnswer, "{mark}");
+        *counts.entry(state).or_default() += 1;
+    }
+    println!("{counts:?}");
+    assert!(counts.get("done").is_some_and(|n| *n >= CALLERS), "{counts:?}");
+}
+
+/// Guards against a successor that starts a claimed job again, and against jobs that end with their owner.
+#[async_std::test]
+async fn masters_run_once_when_owners_are_killed() {
+    let mut cluster = start("once-kill").await;
+    let flood = flood(&cluster);
+    let mut rng = StdRng::seed_from_u64(11);
+    for number in [0, 1, 2, 0] {
+        task::sleep(Duration::from_millis(rng.random_range(300..1_500))).await;
+        cluster.entries[number].kill();
+        cluster.restart_entry(number);
+    }
+    let outcomes = flood.end().await;
+    check(&cluster, &outcomes).await;
+}
+
+/// Guards against the start of a paused owner whose job a successor has taken over.
+#[async_std::test]
+async fn masters_run_once_when_owners_are_frozen() {
+    let cluster = start("once-freeze").await;
+    let flood = flood(&cluster);
+    for number in [0, 1] {
+        task::sleep(Duration::from_millis(700)).await;
+        cluster.entries[number].signal("STOP");
+        task::sleep(OWNER_LEASE_TTL + Duration::from_secs(2)).await;
+        cluster.entries[number].signal("CONT");
+    }
+    let outcomes = flood.end().await;
+    check(&cluster, &outcomes).await;
+}
+
+/// Guards against a claim or an acceptance that is written again, or taken as not written, after a lost answer.
+#[async_std::test]
+async fn masters_run_once_when_journal_answers_are_lost() {
+    let cluster = start("once-lost").await;
+    let flood = flood(&cluster);
+    for (seed, effect) in [(1, "applied"), (2, "none"), (3, "late"), (4, "applied")] {
+        let lost = json!({ "probability": 0.3, "seed": seed, "prefixes": ["jobs"], "effect": effect, "late_ms": 100 });
+        control(cluster.store, "lost", &lost).await;
+        task::sleep(Duration::from_millis(1_500)).await;
+    }
+    control(cluster.store, "lost", &json!({})).await;
+    let outcomes = flood.end().await;
+    check(&cluster, &outcomes).await;
+}
+
+/// Guards against a start that is sent again because its answer did not come.
+#[async_std::test]
+async fn masters_run_once_when_start_answers_are_lost() {
+    let cluster = start("once-start").await;
+    let flood = flood(&cluster);
+    for round in 0..10 {
+        for worker in &cluster.workers {
+            let faults = if round % 2 == 0 { json!({ "lost": 3 }) } else { json!({ "cut": 2, "delay_ms": 20 }) };
+            control(*worker, "faults", &faults).await;
+        }
+        task::sleep(Duration::from_millis(400)).await;
+    }
+    for worker in &cluster.workers {
+        control(*worker, "faults", &json!({ "lost": 0, "cut": 0, "delay_ms": 0 })).await;
+    }
+    let outcomes = flood.end().await;
+    check(&cluster, &outcomes).await;
+}
+
+/// Guards against a second start when several faults meet: lost answers, a killed owner and a frozen one.
+#[async_std::test]
+async fn masters_run_once_when_faults_meet() {
+    let mut cluster = start("once-all").await;
+    let flood = flood(&cluster);
+    let lost = json!({ "probability": 0.2, "seed": 5, "prefixes": ["jobs", "owner"], "effect": "applied" });
+    control(cluster.store, "lost", &lost).await;
+    control(cluster.store, "stale", &json!({ "ms": 300 })).await;
+    let mut rng = StdRng::seed_from_u64(12);
+    for (killed, frozen) in [(0, 1), (2, 0)] {
+        cluster.entries[frozen].signal("STOP");
+        task::sleep(Duration::from_millis(rng.random_range(100..900))).await;
+        for worker in &cluster.workers {
+            control(*worker, "faults", &json!({ "lost": 2 })).await;
+        }
+        cluster.entries[killed].kill();
+        cluster.restart_entry(killed);
+        task::sleep(OWNER_LEASE_TTL + Duration::from_secs(1)).await;
+        cluster.entries[frozen].signal("CONT");
+    }
+    control(cluster.store, "lost", &json!({})).await;
+    control(cluster.store, "stale", &json!({ "ms": 0 })).await;
+    for worker in &cluster.workers {
+        control(*worker, "faults", &json!({ "lost": 0 })).await;
+    }
+    let outcomes = flood.end().await;
+    check(&cluster, &outcomes).await;
+}
