Test keys and withdrawals at entries that are cut off, frozen or new

A withdrawn key is tried at every entry once the withdrawal is in force: with an entry that can't reach the store but its peers, with an entry that was paused and cut off from the store (requests wait in its sockets, and no task starts later than a slot lease of 3 s after the withdrawal is in force), and with reads of the store that are 3 s old and a restarted entry. With the store down for all for longer than the freshness bound, the entries go on with keyed work and an entry that starts then takes none, though its seeds give it the configuration. Keys of another team, unknown keys and wrong team names are refused at every entry.

--- a/crates/carawaybarrow/tests/cluster/mod.rs
+++ b/crates/carawaybarrow/tests/cluster/mod.rs
@@ -92,6 +92,7 @@
 pub struct Entry {
     pub name: String,
     pub callers: SocketAddr,
+    pub peers: SocketAddr,
     settings: PathBuf,
     child: Child,
 }
@@ -110,8 +111,8 @@
         let stdout = child.stdout.take().expect("a pipe");
         BufReader::new(stdout).read_line(&mut line).expect("a line");
         let line: Value = serde_json::from_str(&line).expect("the entry prints its addresses");
-        let callers = line["listening"].as_str().and_then(|a| a.parse().ok()).expect("an address");
-        Self { name: name.to_owned(), callers, settings, child }
+        let read = |field: &str| line[field].as_str().and_then(|a| a.parse().ok()).expect("an address");
+        Self { name: name.to_owned(), callers: read("listening"), peers: read("peers"), settings, child }
     }
 
     /// Sends a signal to the process.
@@ -302,6 +303,18 @@
         counts
     }
 
+    /// When the last task of a team was started on any worker, in ms since the Unix epoch.
+    pub async fn last_start(&self, team: &str) -> u64 {
+        let mut last = 0;
+        for worker in &self.workers {
+            let reply = self.client.get(*worker, "/control/starts").await.expect("an answer");
+            let starts: Vec<Value> = reply.json().expect("JSON");
+            let own = starts.iter().filter(|start| start["team"] == team);
+            last = last.max(own.filter_map(|start| start["at_ms"].as_u64()).max().unwrap_or(0));
+        }
+        last
+    }
+
     /// Tasks of a team that run on all workers together now.
     pub fn running(&self, team: &str) -> u64 {
         self.tally.show().get(team).map_or(0, |running| running.now)
