Write ledger lines of durable jobs and serve the month report

The owner of a job shard now writes a line for each ended job into the segments of its shard and archives the job once its line is stored. A segment is created only by the entry that opened it in the index: an absent listed segment is a loss that the report states, and is never written anew. GET /v1/reports/month/{yyyy-mm}?format=text|csv reads the segments at any entry. The setting answer_retention (10 min) keeps the inline answers, which archiving drops.

Urgent jobs, moves, drains, changes and keys have no lines yet, and payloads and results of archived jobs are not removed.

--- a/crates/carawaybarrow/src/admin.rs
+++ b/crates/carawaybarrow/src/admin.rs
@@ -75,12 +75,13 @@
 }
 
 /// The operator whose key came with a request.
-fn find_operator(req: &HttpRequest) -> Option<OperatorId> {
+pub(crate) fn find_operator(req: &HttpRequest) -> Option<OperatorId> {
     let key = front::read_key(req)?;
     req.state().settings.operators.iter().find(|o| o.key_sha256 == key).map(|o| o.name.clone())
 }
 
-fn refuse_operator() -> Response {
+/// The answer to a request without the key of an operator.
+pub(crate) fn refuse_operator() -> Response {
     let mut errors = Findings::new();
     errors.add("authorization", "no operator has this key");
     front::respond(StatusCode::Unauthorized, &json!({ "errors": errors }))
--- a/crates/carawaybarrow/src/entry.rs
+++ b/crates/carawaybarrow/src/entry.rs
@@ -118,6 +118,7 @@
         task::spawn(Arc::clone(self).watch_fleet());
         task::spawn(Arc::clone(self).poll_workers());
         task::spawn(Arc::clone(self).plan_fleet());
+        task::spawn(Arc::clone(self).keep_ledger());
     }
 
     /// The freshness state.
--- /dev/null
+++ b/crates/carawaybarrow/src/ledger_segments.rs
@@ -0,0 +1,209 @@
+//! Appends to ledger segments in the store.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use carawaybarrow_core::commit::{Commit, DecodeError, Document, NotWritten, RecentChanges};
+use carawaybarrow_core::ids::{ShardId, StoreVersion};
+use carawaybarrow_core::ledger::{
+    Append, AppendOutcome, IndexCommand, IndexOutcome, Line, LineKey, Month, Place, Segment, SegmentIndex,
+};
+
+use crate::entry::Entry;
+use crate::store::{self, CommitError, Committed};
+
+/// Store calls of one append. The next round repeats it, so that an outage does not hold up the other shards.
+const ATTEMPTS: u32 = 6;
+
+/// Segments that one append may open before it is left to the next round.
+const MAX_OPENED: u32 = 2;
+
+/// An append that creates its segment only if the segment was opened for it.
+#[derive(Clone, Debug)]
+struct GuardedAppend {
+    append: Append,
+    create: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum GuardedOutcome {
+    Append(AppendOutcome),
+    /// The segment was written before and is not in the store any more.
+    Gone,
+}
+
+/// A segment that is never written anew after it was lost, because the report would then not notice the loss.
+#[derive(Clone, Debug, Default)]
+struct GuardedSegment(Segment);
+
+impl Document for GuardedSegment {
+    type Command = GuardedAppend;
+    type Outcome = GuardedOutcome;
+
+    fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
+        Segment::decode(bytes).map(Self)
+    }
+
+    fn encode(&self) -> Vec<u8> {
+        self.0.encode()
+    }
+
+    fn apply(&mut self, command: &GuardedAppend) -> GuardedOutcome {
+        if self.0.place().is_none() && !command.create {
+            return GuardedOutcome::Gone;
+        }
+        GuardedOutcome::Append(self.0.apply(&command.append))
+    }
+
+    fn is_change(outcome: &GuardedOutcome) -> bool {
+        matches!(outcome, GuardedOutcome::Append(outcome) if Segment::is_change(outcome))
+    }
+
+    fn recent(&self) -> &RecentChanges {
+        self.0.recent()
+    }
+
+    fn recent_mut(&mut self) -> &mut RecentChanges {
+        self.0.recent_mut()
+    }
+}
+
+/// Where the next lines of a month and shard go.
+#[derive(Debug, Default)]
+struct Cursor {
+    /// Listed segments; lines go to the last one.
+    segments: u32,
+    /// Whether this entry opened the last segment and has not yet seen it written.
+    create: bool,
+    /// The last segment as written by this entry.
+    base: Option<(StoreVersion, GuardedSegment)>,
+}
+
+/// Appends of one entry.
+#[derive(Debug, Default)]
+pub struct SegmentWriter {
+    cursors: BTreeMap<(ShardId, Month), Cursor>,
+    written: BTreeMap<ShardId, BTreeSet<LineKey>>,
+    /// Whether the last append was successful, so that the log has a line for each change only.
+    pub is_storing: bool,
+}
+
+impl SegmentWriter {
+    /// Forgets the shards that the entry doesn't own any more.
+    pub fn retain(&mut self, owned: &[ShardId]) {
+        self.cursors.retain(|(shard, _), _| owned.contains(shard));
+        self.written.retain(|shard, _| owned.contains(shard));
+    }
+
+    /// Whether the line is known to be stored.
+    #[must_use]
+    pub fn is_written(&self, shard: ShardId, key: &LineKey) -> bool {
+        self.written.get(&shard).is_some_and(|keys| keys.contains(key))
+    }
+
+    /// Forgets stored lines that nobody will ask for again.
+    pub fn retain_written(&mut self, shard: ShardId, is_kept: impl Fn(&LineKey) -> bool) {
+        if let Some(keys) = self.written.get_mut(&shard) {
+            keys.retain(|key| is_kept(key));
+        }
+    }
+
+    /// Creates the index of a month, and notes the lines of its last segment as stored.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store can't be reached.
+    pub async fn open_month(&mut self, entry: &Entry, shard: ShardId, month: Month) -> Result<(), CommitError> {
+        if self.cursors.contains_key(&(shard, month)) {
+            return Ok(());
+        }
+        let index = commit_index(entry, shard, month, IndexCommand::Create).await?.document;
+        let mut cursor = Cursor { segments: index.segments(), create: false, base: None };
+        if let Some(n) = index.segments().checked_sub(1) {
+            let key = Place { month, shard, n }.key();
+            let unavailable = CommitError::NotWritten { reason: NotWritten::StoreUnavailable };
+            let stored = entry.store.get(&key).await.map_err(|_unanswered| unavailable)?;
+            if let Some((version, Ok(segment))) = stored.map(|s| (s.version, GuardedSegment::decode(&s.bytes))) {
+                self.written.entry(shard).or_default().extend(segment.0.lines().iter().map(Line::key));
+                cursor.base = Some((version, segment));
+            }
+        }
+        self.cursors.insert((shard, month), cursor);
+        Ok(())
+    }
+
+    /// Appends lines of one month, and notes them as stored.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store can't be reached; the lines may be stored nevertheless.
+    pub async fn append(
+        &mut self,
+        entry: &Entry,
+        shard: ShardId,
+        month: Month,
+        lines: &[Line],
+    ) -> Result<(), CommitError> {
+        self.open_month(entry, shard, month).await?;
+        let Some(cursor) = self.cursors.get_mut(&(shard, month)) else { return Err(CommitError::Unknown) };
+        for _ in 0..=MAX_OPENED {
+            if cursor.segments > 0 && cursor.append(entry, shard, month, lines).await? {
+                self.written.entry(shard).or_default().extend(lines.iter().map(Line::key));
+                return Ok(());
+            }
+            cursor.open_next(entry, shard, month).await?;
+        }
+        Err(CommitError::NotWritten { reason: NotWritten::TooManyConflicts })
+    }
+}
+
+impl Cursor {
+    /// Appends to the last segment; `false` if it takes no more lines.
+    async fn append(
+        &mut self,
+        entry: &Entry,
+        shard: ShardId,
+        month: Month,
+        lines: &[Line],
+    ) -> Result<bool, CommitError> {
+        let place = Place { month, shard, n: self.segments - 1 };
+        let append = Append { place, lines: lines.to_vec() };
+        let command = GuardedAppend { append, create: self.create };
+        let mut commit = Commit::new(entry.new_change_id(), vec![command]).with_attempts(ATTEMPTS);
+        if let Some((version, document)) = &self.base {
+            commit = commit.with_base(*version, document.clone());
+        }
+        let Committed { outcomes, version, document } =
+            store::run_commit::<GuardedSegment>(&*entry.store, &place.key(), commit).await?;
+        let is_stored = matches!(
+            outcomes.first(),
+            Some(GuardedOutcome::Append(AppendOutcome::Appended | AppendOutcome::NothingToAppend))
+        );
+        if is_stored {
+            self.create = false;
+            self.base = Some((version, document));
+        } else {
+            log::info!(segment:% = place.key(), outcome:? = outcomes; "ledger segment takes no more lines");
+        }
+        Ok(is_stored)
+    }
+
+    async fn open_next(&mut self, entry: &Entry, shard: ShardId, month: Month) -> Result<(), CommitError> {
+        let n = self.segments;
+        let committed = commit_index(entry, shard, month, IndexCommand::Open { n }).await?;
+        // A segment that another entry opened may have been written, so that its absence is a loss.
+        self.create = committed.outcomes.first() == Some(&IndexOutcome::Opened);
+        self.segments = committed.document.segments();
+        self.base = None;
+        Ok(())
+    }
+}
+
+async fn commit_index(
+    entry: &Entry,
+    shard: ShardId,
+    month: Month,
+    command: IndexCommand,
+) -> Result<Committed<SegmentIndex>, CommitError> {
+    let commit = Commit::new(entry.new_change_id(), vec![command]).with_attempts(ATTEMPTS);
+    store::run_commit(&*entry.store, &Place::index_key(month, shard), commit).await
+}
--- a/crates/carawaybarrow/src/metrics.rs
+++ b/crates/carawaybarrow/src/metrics.rs
@@ -75,6 +75,8 @@
     retries: Counter<u64>,
     store_calls: Counter<u64>,
     peer_calls: Counter<u64>,
+    ledger_lines: Counter<u64>,
+    ledger_failures: Counter<u64>,
     waits: Histogram<f64>,
     queued: Gauge<u64>,
     revision: Gauge<u64>,
@@ -98,6 +100,14 @@
             retries: meter.u64_counter("carawaybarrow_retries").with_description("Attempts after the first").build(),
             store_calls: meter.u64_counter("carawaybarrow_store_calls").with_description("Calls to the store").build(),
             peer_calls: meter.u64_counter("carawaybarrow_peer_calls").with_description("Calls to peers").build(),
+            ledger_lines: meter
+                .u64_counter("carawaybarrow_ledger_lines")
+                .with_description("Lines stored in the ledger")
+                .build(),
+            ledger_failures: meter
+                .u64_counter("carawaybarrow_ledger_failures")
+                .with_description("Appends to the ledger that are left to a later round")
+                .build(),
             waits: meter
                 .f64_histogram("carawaybarrow_wait_seconds")
                 .with_description("Time from acceptance to start")
@@ -141,6 +151,16 @@
         self.peer_calls.add(1, &[KeyValue::new("method", method)]);
     }
 
+    /// Counts lines stored in the ledger.
+    pub fn count_ledger_lines(&self, count: usize) {
+        self.ledger_lines.add(count as u64, &[]);
+    }
+
+    /// Counts an append to the ledger that is left to a later round.
+    pub fn count_ledger_failure(&self) {
+        self.ledger_failures.add(1, &[]);
+    }
+
     /// Records how long a job waited for its start.
     pub fn record_wait(&self, class: &ClassId, wait: Millis) {
         // Waits are far below the 2^53 ms that an f64 represents exactly.
--- /dev/null
+++ b/crates/carawaybarrow/src/reports.rs
@@ -0,0 +1,105 @@
+//! The month report, read from the store at whichever entry is asked.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use async_std::task;
+use carawaybarrow_core::commit::Document;
+use carawaybarrow_core::ids::ShardId;
+use carawaybarrow_core::ledger::{Month, Place, SegmentIndex};
+use carawaybarrow_core::report::{Fetched, MonthReport, ShardInput};
+use serde::Deserialize;
+use serde_json::json;
+use tide::{Response, StatusCode};
+
+use crate::admin;
+use crate::entry::Entry;
+use crate::front::{self, HttpRequest};
+use crate::store;
+
+/// Reads of a document before it is reported as not read.
+const READ_ATTEMPTS: u32 = 4;
+
+/// Form of a report.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Format {
+    #[default]
+    Text,
+    Csv,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct MonthQuery {
+    #[serde(default)]
+    format: Format,
+}
+
+/// Adds the routes of the reports.
+pub fn add_routes(app: &mut tide::Server<Arc<Entry>>) {
+    app.at("/v1/reports/month/:month").get(report_month);
+}
+
+async fn report_month(req: HttpRequest) -> tide::Result {
+    let Some(_) = admin::find_operator(&req) else { return Ok(admin::refuse_operator()) };
+    let month = match req.param("month").unwrap_or_default().parse::<Month>() {
+        Ok(month) => month,
+        Err(e) => return Ok(refuse("month", &e.to_string())),
+    };
+    let format = match req.query::<MonthQuery>() {
+        Ok(query) => query.format,
+        Err(e) => return Ok(refuse("format", &format!("use csv or text: {e}"))),
+    };
+    let report = req.state().read_month(month).await;
+    let (mime, body) = match format {
+        Format::Csv => ("text/csv; charset=utf-8", report.to_csv()),
+        Format::Text => ("text/plain; charset=utf-8", report.to_text()),
+    };
+    Ok(Response::builder(StatusCode::Ok).content_type(mime).body(body).build())
+}
+
+fn refuse(place: &str, message: &str) -> Response {
+    front::respond(StatusCode::BadRequest, &json!({ "errors": [{ "place": place, "message": message }] }))
+}
+
+impl Entry {
+    /// Reads the segments of a month. What can't be read is stated in the report.
+    pub async fn read_month(&self, month: Month) -> MonthReport {
+        let shards = self.settings.job_shards;
+        let mut inputs = BTreeMap::new();
+        for shard in (0..shards).map(ShardId) {
+            inputs.insert(shard, self.read_shard(month, shard).await);
+        }
+        MonthReport::new(month, shards, &inputs)
+    }
+
+    async fn read_shard(&self, month: Month, shard: ShardId) -> ShardInput {
+        let index = self.fetch(&Place::index_key(month, shard)).await;
+        let listed = match &index {
+            Fetched::Bytes(bytes) => SegmentIndex::decode(bytes).map_or(0, |index| index.segments()),
+            Fetched::Absent | Fetched::NotRead => 0,
+        };
+        let mut segments = BTreeMap::new();
+        for n in 0.. {
+            let fetched = self.fetch(&Place { month, shard, n }.key()).await;
+            // The index may be lost or stale, so the segments after the listed ones are tried too.
+            if n >= listed && !matches!(fetched, Fetched::Bytes(_)) {
+                break;
+            }
+            segments.insert(n, fetched);
+        }
+        ShardInput { index, segments }
+    }
+
+    async fn fetch(&self, key: &str) -> Fetched {
+        for attempt in 0..READ_ATTEMPTS {
+            match self.store.get(key).await {
+                Ok(Some(stored)) => return Fetched::Bytes(stored.bytes),
+                Ok(None) => return Fetched::Absent,
+                Err(_) => task::sleep(store::backoff(attempt)).await,
+            }
+        }
+        Fetched::NotRead
+    }
+}
--- a/crates/carawaybarrow/src/settings.rs
+++ b/crates/carawaybarrow/src/settings.rs
@@ -21,6 +21,10 @@
 const OUTAGE_LIMIT: (Millis, Millis, Millis) =
     (Millis::from_secs(10), Millis::from_secs(6 * 3600), Millis::from_secs(75 * 60));
 
+/// Bounds and default of the time for which answers of ended durable jobs are kept. A shard holds 500 jobs, so a longer
+/// time than the default is seldom reached.
+const ANSWER_RETENTION: (Millis, Millis, Millis) = (Millis(0), Millis::from_secs(24 * 3600), Millis::from_secs(600));
+
 /// Bounds and default of the time between the announcement of a stop and its start.
 const DRAIN_DELAY: (Millis, Millis, Millis) = (Millis(0), Millis::from_secs(60), Millis::from_secs(2));
 
@@ -58,6 +62,8 @@
     pub body_bytes: u64,
     /// How long keyed work goes on while no entry reaches the store.
     pub outage_limit: Millis,
+    /// How long the answer of a durable job is kept after its end while its shard has room.
+    pub answer_retention: Millis,
     /// Time between a failing readiness check and the end of listening.
     pub drain_delay: Millis,
 }
@@ -119,6 +125,7 @@
     let job_shards = reader.read_number("job_shards", JOB_SHARDS);
     let body_bytes = reader.read_number("body_bytes", BODY_BYTES);
     let outage_limit = reader.read_duration("outage_limit", OUTAGE_LIMIT);
+    let answer_retention = reader.read_duration("answer_retention", ANSWER_RETENTION);
     let drain_delay = reader.read_duration("drain_delay", DRAIN_DELAY);
     if let (Some(callers), Some(peers)) = (callers, peers)
         && callers == peers
@@ -138,6 +145,7 @@
         job_shards: u16::try_from(job_shards?).ok()?,
         body_bytes: body_bytes?,
         outage_limit: outage_limit?,
+        answer_retention: answer_retention?,
         drain_delay: drain_delay?,
     })
 }
--- /dev/null
+++ b/crates/carawaybarrow/tests/ledger.rs
@@ -0,0 +1,225 @@
+//! The ledger and the month report of an installation whose entries and store fail.
+
+mod cluster;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use async_std::task;
+use carawaybarrow_core::ids::ShardId;
+use carawaybarrow_core::job::derive_job_id;
+use carawaybarrow_core::ledger::{Month, Place};
+use carawaybarrow_core::units::WallTime;
+use cluster::{CLINIC_SECRET, Cluster, control, end_control, named, poll_until};
+use http_types::Method;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{Value, json};
+
+/// Shards of these installations; few, so that each gets several lines.
+const SHARDS: u16 = 4;
+
+fn month() -> Month {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time after the epoch");
+    Month::of(WallTime(since_epoch.as_millis() as u64))
+}
+
+/// An installation that archives jobs as soon as their lines are stored.
+async fn start(name: &str, entries: usize) -> Cluster {
+    let mut cluster = Cluster::start(name, 0, 3).await;
+    for i in 0..entries {
+        let further = json!({ "answer_retention": "0ms", "job_shards": SHARDS });
+        cluster.add_entry(&format!("e{}", i + 1), &further);
+    }
+    cluster.configure(50).await;
+    cluster
+}
+
+async fn accept(cluster: &Cluster, number: usize, mark: &str) {
+    let job = named("archive", mark, 20);
+    let body = json!({ "queue": "archive", "request_id": mark, "payload": job.payload }).to_string();
+    poll_until(&format!("{mark} is accepted"), || async {
+        let reply = cluster.call(number, Method::Post, "/v1/jobs", CLINIC_SECRET, &body).await;
+        [200, 202].contains(&reply.status).then_some(())
+    })
+    .await;
+}
+
+fn id_of(mark: &str) -> String {
+    let (team, queue) = ("clinic".parse().expect("a name"), "archive".parse().expect("a name"));
+    derive_job_id(Some(&team), &queue, mark).to_string()
+}
+
+async fn report(cluster: &Cluster, number: usize, format: &str) -> String {
+    let path = format!("/v1/reports/month/{}?format={format}", month());
+    let reply = cluster.operate(number, Method::Get, &path, &json!({})).await;
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    reply.text()
+}
+
+/// Rows of a kind as maps from column to field.
+fn rows(csv: &str, kind: &str) -> Vec<BTreeMap<String, String>> {
+    let mut reader = csv::Reader::from_reader(csv.as_bytes());
+    let all = reader.deserialize::<BTreeMap<String, String>>().map(|row| row.expect("a row"));
+    all.filter(|row| row["row"] == kind).collect()
+}
+
+/// Waits until the report has a line for each mark, and checks that it has no other job and none twice.
+async fn expect_lines(cluster: &Cluster, number: usize, marks: &[String]) {
+    let expected: BTreeSet<_> = marks.iter().map(|mark| id_of(mark)).collect();
+    let mut listed = Vec::new();
+    for _ in 0..100 {
+        listed = rows(&report(cluster, number, "csv").await, "job").into_iter().map(|row| row["job"].clone()).collect();
+        if listed.len() >= expected.len() {
+            break;
+        }
+        task::sleep(Duration::from_millis(300)).await;
+    }
+    let found: BTreeSet<_> = listed.iter().cloned().collect();
+    let missing: Vec<_> = marks.iter().filter(|mark| !found.contains(&id_of(mark))).collect();
+    assert!(missing.is_empty(), "{} of {} jobs have no line: {missing:?}", missing.len(), marks.len());
+    assert_eq!(listed.len(), expected.len(), "a job has two lines, or there is a line of no job: {listed:?}");
+    assert_eq!(found, expected);
+}
+
+/// Guards against lines that are lost or doubled when the owner of a shard is killed or the store's answers are lost.
+#[async_std::test]
+async fn killed_owners_neither_lose_nor_double_a_line() {
+    let mut cluster = start("ledger-kill", 3).await;
+    let mut rng = StdRng::seed_from_u64(20_261_204);
+    let fault = json!({ "probability": 0.2, "seed": 7, "effect": "applied", "prefixes": ["ledger", "jobs"] });
+    control(cluster.store, "lost", &fault).await;
+    // Slow calls widen the time between the steps in which an owner can be killed.
+    control(cluster.store, "delay", &json!({ "ms": 250 })).await;
+    let marks: Vec<String> = (0..60).map(|i| format!("kill-{i}")).collect();
+    let caller = Arc::new(cluster.caller(CLINIC_SECRET));
+    for (round, part) in marks.chunks(12).enumerate() {
+        for mark in part {
+            let (caller, job) = (Arc::clone(&caller), named("archive", mark, 20));
+            task::spawn(async move { caller.submit(&job).await });
+            task::sleep(Duration::from_millis(rng.random_range(0..160))).await;
+        }
+        task::sleep(Duration::from_millis(rng.random_range(0..2_000))).await;
+        let victim = round % 3;
+        cluster.entries[victim].kill();
+        task::sleep(Duration::from_millis(rng.random_range(0..1_000))).await;
+        cluster.restart_entry(victim);
+    }
+    control(cluster.store, "delay", &json!({})).await;
+    cluster.wait_for_slots().await;
+    for mark in &marks {
+        accept(&cluster, 0, mark).await;
+    }
+    expect_lines(&cluster, 1, &marks).await;
+}
+
+/// Guards against jobs that are archived although their lines were not stored.
+#[async_std::test]
+async fn no_line_is_lost_while_the_ledger_or_the_store_is_down() {
+    let cluster = start("ledger-outage", 2).await;
+    let fault = json!({ "probability": 1.0, "effect": "none", "prefixes": ["ledger"] });
+    control(cluster.store, "lost", &fault).await;
+    let marks: Vec<String> = (0..20).map(|i| format!("outage-{i}")).collect();
+    for mark in &marks {
+        accept(&cluster, 0, mark).await;
+    }
+    task::sleep(Duration::from_secs(4)).await;
+    control(cluster.store, "outage", &json!({ "mode": "refuse" })).await;
+    task::sleep(Duration::from_secs(4)).await;
+    end_control(cluster.store, "outage").await;
+    control(cluster.store, "lost", &json!({})).await;
+    expect_lines(&cluster, 0, &marks).await;
+}
+
+/// Guards against reports that differ among entries, and against totals that don't match the lines.
+#[async_std::test]
+async fn entries_print_the_same_report_and_its_totals_add_up() {
+    let cluster = start("ledger-same", 3).await;
+    let marks: Vec<String> = (0..12).map(|i| format!("same-{i}")).collect();
+    for (i, mark) in marks.iter().enumerate() {
+        accept(&cluster, i % 3, mark).await;
+    }
+    expect_lines(&cluster, 0, &marks).await;
+    for format in ["csv", "text"] {
+        let first = report(&cluster, 0, format).await;
+        for other in 1..3 {
+            assert_eq!(report(&cluster, other, format).await, first, "entry {other}, {format}");
+        }
+    }
+    let csv = report(&cluster, 0, "csv").await;
+    assert_eq!(rows(&csv, "gap"), [], "a month without losses has no gaps");
+    let sum = |kinds: &[&str], column: &str| -> u64 {
+        let rows = kinds.iter().flat_map(|kind| rows(&csv, kind));
+        rows.map(|row| row[column].parse::<u64>().expect("a number")).sum()
+    };
+    for column in ["count", "wait_ms", "run_ms"] {
+        let of_lines = sum(&["job", "urgent"], column);
+        assert_eq!(of_lines, sum(&["total"], column), "{column}");
+        assert_eq!(of_lines, sum(&["all"], column), "{column}");
+    }
+    let path = format!("/v1/reports/month/{}", month());
+    assert_eq!(cluster.call(0, Method::Get, &path, CLINIC_SECRET, "").await.status, 401);
+    for path in ["/v1/reports/month/2026-13", "/v1/reports/month/2026-04?format=pdf"] {
+        assert_eq!(cluster.operate(0, Method::Get, path, &json!({})).await.status, 400, "{path}");
+    }
+}
+
+/// Guards against a lost segment that later lines replace without a word in the report.
+#[async_std::test]
+async fn deleted_segment_stays_reported_as_missing() {
+    let cluster = start("ledger-deleted", 2).await;
+    let marks: Vec<String> = (0..16).map(|i| format!("first-{i}")).collect();
+    for mark in &marks {
+        accept(&cluster, 0, mark).await;
+    }
+    expect_lines(&cluster, 0, &marks).await;
+    let client = carawaybarrow_testbed::client::Client::new();
+    let place = Place { month: month(), shard: ShardId(1), n: 0 };
+    let path = format!("/kv/{}", place.key());
+    let stored: Value = client.get(cluster.store, &path).await.expect("an answer").json().expect("JSON");
+    let delete = format!("{path}?expect={}", stored["version"]);
+    let deleted = client.call(cluster.store, Method::Delete, &delete, &[], "").await.expect("an answer");
+    assert!(deleted.status < 300, "{}", deleted.text());
+    let lost = rows(&report(&cluster, 0, "csv").await, "job").len();
+    assert!(lost < marks.len(), "shard 1 has lines");
+    let later: Vec<String> = (0..16).map(|i| format!("later-{i}")).collect();
+    for mark in &later {
+        accept(&cluster, 0, mark).await;
+    }
+    poll_until("the later lines are stored", || async {
+        (rows(&report(&cluster, 1, "csv").await, "job").len() >= lost + later.len()).then_some(())
+    })
+    .await;
+    for number in 0..2 {
+        let text = report(&cluster, number, "text").await;
+        assert!(text.contains("segment 0 of shard 01: it is not in the store; its lines are missing"), "{text}");
+        assert!(text.contains("NOT COMPLETE"), "{text}");
+    }
+}
+
+/// Guards against a second line for jobs that the former owner had written but not archived.
+#[async_std::test]
+async fn next_owner_doubles_no_line() {
+    let mut cluster = Cluster::start("ledger-next", 0, 3).await;
+    for name in ["e1", "e2"] {
+        cluster.add_entry(name, &json!({ "answer_retention": "1h", "job_shards": SHARDS }));
+    }
+    cluster.configure(50).await;
+    let marks: Vec<String> = (0..12).map(|i| format!("next-{i}")).collect();
+    for mark in &marks {
+        accept(&cluster, 0, mark).await;
+    }
+    expect_lines(&cluster, 0, &marks).await;
+    cluster.entries[0].kill();
+    poll_until("the other entry owns all shards", || async {
+        let status = cluster.status(1).await;
+        (status["shards"].as_array()?.len() == usize::from(SHARDS)).then_some(())
+    })
+    .await;
+    accept(&cluster, 1, "after").await;
+    // Two rounds of the new owner.
+    task::sleep(Duration::from_secs(3)).await;
+    let all: Vec<String> = marks.into_iter().chain(["after".to_owned()]).collect();
+    expect_lines(&cluster, 1, &all).await;
+}
