Write ledger lines of changes, keys, moves and drains

The month report had no lines of the configuration and the fleet.

The entry that owns shard 0 compares the configuration's change records and the VM records with the document ledger/cursor, which also holds the lines that are not yet stored. Lines get their content when the cursor is written, so that the next owner of the duty writes the same ones. An older view than the cursor's is passed over.

Test next_duty_owner_goes_on_where_the_former_one_stopped: the owner is killed among 8 changes while a wave runs; each revision has one line, each VM is registered once and returns after its drain.

--- a/crates/carawaybarrow/src/fleet_sync.rs
+++ b/crates/carawaybarrow/src/fleet_sync.rs
@@ -72,6 +72,13 @@
         self.lock().document.clone()
     }
 
+    /// The VM records and their version in the store; the version is 0 before they were read.
+    #[must_use]
+    pub fn versioned_document(&self) -> (StoreVersion, Fleet) {
+        let inner = self.lock();
+        (inner.version, inner.document.clone())
+    }
+
     /// Address of the worker on a VM.
     #[must_use]
     pub fn find_address(&self, vm: &VmId) -> Option<SocketAddr> {
--- a/crates/carawaybarrow/src/ledger_segments.rs
+++ b/crates/carawaybarrow/src/ledger_segments.rs
@@ -84,7 +84,7 @@
     cursors: BTreeMap<(ShardId, Month), Cursor>,
     written: BTreeMap<ShardId, BTreeSet<LineKey>>,
     /// Whether the last append was successful, so that the log has a line for each change only.
-    pub is_storing: bool,
+    is_storing: bool,
 }
 
 impl SegmentWriter {
@@ -131,18 +131,37 @@
         Ok(())
     }
 
-    /// Appends lines of one month, and notes them as stored.
+    /// Appends lines of one month in batches, and notes them as stored.
     ///
     /// # Errors
     ///
     /// Fails if the store can't be reached; the lines may be stored nevertheless.
-    pub async fn append(
+    pub async fn append_all(
         &mut self,
         entry: &Entry,
         shard: ShardId,
         month: Month,
         lines: &[Line],
+        batch_lines: usize,
     ) -> Result<(), CommitError> {
+        for batch in lines.chunks(batch_lines) {
+            let stored = self.append(entry, shard, month, batch).await;
+            if stored.is_ok() != self.is_storing {
+                self.is_storing = stored.is_ok();
+                log::info!(storing = stored.is_ok(); "ledger");
+            }
+            match stored {
+                Ok(()) => entry.metrics.count_ledger_lines(batch.len()),
+                Err(e) => {
+                    entry.metrics.count_ledger_failure();
+                    return Err(e);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    async fn append(&mut self, entry: &Entry, shard: ShardId, month: Month, lines: &[Line]) -> Result<(), CommitError> {
         self.open_month(entry, shard, month).await?;
         let Some(cursor) = self.cursors.get_mut(&(shard, month)) else { return Err(CommitError::Unknown) };
         for _ in 0..=MAX_OPENED {
--- a/crates/carawaybarrow/src/ledger_sync.rs
+++ b/crates/carawaybarrow/src/ledger_sync.rs
@@ -1,6 +1,6 @@
-//! Ledger lines of durable jobs, written by the owner of each job shard.
+//! The rounds in which an entry writes ledger lines, and the lines of durable jobs.
 //!
-//! A job is archived only after its line is stored. A crash between the two makes the next owner write the line again
+//! The owner of a job shard writes the lines of its jobs. A job is archived only after its line is stored. A crash between the two makes the next owner write the line again
 //! at most; the month report counts lines of one key once.
 
 use std::collections::BTreeMap;
@@ -15,6 +15,7 @@
 use carawaybarrow_core::units::{Millis, WallTime};
 
 use crate::entry::Entry;
+use crate::ledger_duty::DutyWriter;
 use crate::ledger_segments::SegmentWriter;
 
 /// Appends per second that all owners together make; a part of the store's budget of 50 writes a second for ledger,
@@ -87,13 +88,17 @@
     pub async fn keep_ledger(self: Arc<Self>) {
         let round = Millis(u64::from(self.settings.job_shards) * 1_000 / APPENDS_PER_SECOND);
         let round = round.0.max(SHORTEST_ROUND.0);
-        let mut writer = SegmentWriter::default();
+        let (mut writer, mut duty) = (SegmentWriter::default(), DutyWriter::default());
         while !self.is_stopping() {
             let owned = self.shards.owned();
             writer.retain(&owned);
             for shard in owned {
                 self.write_job_lines(&mut writer, shard).await;
             }
+            if self.has_duty() {
+                // Without success the cursor keeps the lines for the next round, here or at another entry.
+                let _ = duty.write(&self, &mut writer).await;
+            }
             task::sleep(Millis(round).to_duration()).await;
         }
     }
@@ -109,18 +114,9 @@
             months.entry(Month::of(ended.line.at())).or_default().push(ended.line.clone());
         }
         for (month, lines) in months {
-            for batch in lines.chunks(MAX_BATCH_LINES) {
-                // Without success the jobs stay in the journal, so that the next round finds them again.
-                let stored = writer.append(self, shard, month, batch).await;
-                if stored.is_ok() != writer.is_storing {
-                    writer.is_storing = stored.is_ok();
-                    log::info!(storing = stored.is_ok(); "ledger");
-                }
-                if stored.is_err() {
-                    self.metrics.count_ledger_failure();
-                    return;
-                }
-                self.metrics.count_ledger_lines(batch.len());
+            // Without success the jobs stay in the journal, so that the next round finds them again.
+            if writer.append_all(self, shard, month, &lines, MAX_BATCH_LINES).await.is_err() {
+                return;
             }
         }
         let is_stored = |line: &Line| writer.is_written(shard, &line.key());
--- a/crates/carawaybarrow/src/lib.rs
+++ b/crates/carawaybarrow/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod front;
 pub mod http_client;
 pub mod http_server;
+pub mod ledger_duty;
 pub mod ledger_segments;
 pub mod ledger_sync;
 pub mod logging;
--- a/crates/carawaybarrow/tests/ledger.rs
+++ b/crates/carawaybarrow/tests/ledger.rs
@@ -223,3 +223,55 @@
     let all: Vec<String> = marks.into_iter().chain(["after".to_owned()]).collect();
     expect_lines(&cluster, 1, &all).await;
 }
+
+/// Guards against changes, keys, moves and drains that are missing or doubled when another entry takes over the duty.
+#[async_std::test]
+async fn next_duty_owner_goes_on_where_the_former_one_stopped() {
+    let mut cluster = Cluster::start("ledger-duty", 0, 6).await;
+    for name in ["e1", "e2", "e3"] {
+        cluster.add_entry(name, &json!({ "job_shards": SHARDS }));
+    }
+    cluster.configure(50).await;
+    let started =
+        cluster.operate(0, Method::Post, "/v1/fleet/commands", &json!({ "command": "start", "most": 1 })).await;
+    assert_eq!(started.status, 200, "{}", started.text());
+    let mut owner = None;
+    for i in 0..3 {
+        let shards = cluster.status(i).await["shards"].as_array().expect("a list").clone();
+        owner = owner.or(shards.contains(&json!(0)).then_some(i));
+    }
+    let owner = owner.expect("shard 0 has an owner");
+    let other = (owner + 1) % 3;
+    for i in 0..8 {
+        if i == 4 {
+            cluster.entries[owner].kill();
+        }
+        let change = json!({ "change": "set_team", "id": format!("team-{i}"), "value": { "share": 1, "limit": 1 } });
+        let reply = cluster.operate(other, Method::Post, "/v1/config/changes", &json!({ "change": change })).await;
+        assert_eq!(reply.status, 200, "{}", reply.text());
+    }
+    let revision = cluster.status(other).await["revision"].as_u64().expect("a number");
+    let vms: Vec<String> = (1..=6).map(|i| format!("vm-{i}")).collect();
+    let events = |csv: &str, vm: &str, kind: &str, detail: &str| {
+        rows(csv, kind).iter().filter(|row| row["vm"] == vm && row["detail"].starts_with(detail)).count()
+    };
+    let csv = poll_until("the wave ends and all lines are stored", || async {
+        let csv = report(&cluster, other, "csv").await;
+        let returned = vms.iter().map(|vm| events(&csv, vm, "drain", "returned")).sum::<usize>() >= 1;
+        (returned && rows(&csv, "change").len() + rows(&csv, "key").len() >= revision as usize).then_some(csv)
+    })
+    .await;
+    let mut revisions: Vec<u64> = ["change", "key"]
+        .iter()
+        .flat_map(|kind| rows(&csv, kind))
+        .map(|row| row["detail"].split([' ', ':']).nth(1).and_then(|n| n.parse().ok()).expect("a revision"))
+        .collect();
+    revisions.sort_unstable();
+    assert_eq!(revisions, (1..=revision).collect::<Vec<_>>());
+    for vm in &vms {
+        assert_eq!(events(&csv, vm, "move", "from none"), 1, "{vm} is registered once");
+        let granted = events(&csv, vm, "drain", "granted");
+        assert!(granted <= 1, "{vm} drains once");
+        assert_eq!(events(&csv, vm, "drain", "returned"), granted, "{vm} returns after each drain");
+    }
+}
