Count urgent jobs in the ledger and all their misses in the burn

Urgent jobs had no lines in the month report. The burn did not count jobs that were displaced from a full queue, refused at admission because they would start too late, or given up by a stale entry: only late and failed ones were recorded, each at its own place.

Every job that is answered without a result now passes give_up_urgent, which records the miss; the two former places are removed. Refusals at admission are counted where the verdict is answered.

The write of a minute that has passed, without a stop, has no test.

--- a/crates/carawaybarrow/src/entry.rs
+++ b/crates/carawaybarrow/src/entry.rs
@@ -13,6 +13,7 @@
 use crate::config_sync::Holder;
 use crate::dispatch::Dispatch;
 use crate::fleet_sync::FleetState;
+use crate::ledger_urgent::UrgentCounts;
 use crate::metrics::Metrics;
 use crate::peer::Peers;
 use crate::quota_sync;
@@ -65,6 +66,8 @@
     pub peers: Peers,
     /// Job shards.
     pub shards: Shards,
+    /// Counts of urgent jobs for the ledger.
+    pub urgent_counts: UrgentCounts,
     /// VM records.
     pub fleet: FleetState,
     freshness: Mutex<Freshness>,
@@ -92,6 +95,7 @@
             holder: Holder::default(),
             peers: Peers::default(),
             shards: Shards::new(settings.job_shards),
+            urgent_counts: UrgentCounts::default(),
             fleet: FleetState::default(),
             freshness: Mutex::new(Freshness::new(id.clone(), incarnation).with_outage_limit(settings.outage_limit)),
             dispatch: Mutex::new(Dispatch::new(id, incarnation, settings.data_centre.clone())),
--- a/crates/carawaybarrow/src/front.rs
+++ b/crates/carawaybarrow/src/front.rs
@@ -137,6 +137,7 @@
             }
             Verdict::Refuse(refusal) => {
                 let class = self.find_class(&held, &submission.queue);
+                self.count_refusal(&held, &submission.queue, key.as_ref(), &refusal);
                 (class, describe_refusal(&refusal), Ran::No)
             }
         }
--- a/crates/carawaybarrow/src/ledger_sync.rs
+++ b/crates/carawaybarrow/src/ledger_sync.rs
@@ -95,6 +95,7 @@
             for shard in owned {
                 self.write_job_lines(&mut writer, shard).await;
             }
+            self.write_urgent_lines(&mut writer, false).await;
             if self.has_duty() {
                 // Without success the cursor keeps the lines for the next round, here or at another entry.
                 let _ = duty.write(&self, &mut writer).await;
--- a/crates/carawaybarrow/src/lib.rs
+++ b/crates/carawaybarrow/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod ledger_duty;
 pub mod ledger_segments;
 pub mod ledger_sync;
+pub mod ledger_urgent;
 pub mod logging;
 pub mod metrics;
 pub mod peer;
--- a/crates/carawaybarrow/src/metrics.rs
+++ b/crates/carawaybarrow/src/metrics.rs
@@ -77,6 +77,7 @@
     peer_calls: Counter<u64>,
     ledger_lines: Counter<u64>,
     ledger_failures: Counter<u64>,
+    ledger_dropped: Counter<u64>,
     waits: Histogram<f64>,
     queued: Gauge<u64>,
     revision: Gauge<u64>,
@@ -108,6 +109,10 @@
                 .u64_counter("carawaybarrow_ledger_failures")
                 .with_description("Appends to the ledger that are left to a later round")
                 .build(),
+            ledger_dropped: meter
+                .u64_counter("carawaybarrow_ledger_dropped")
+                .with_description("Urgent jobs whose team and class found no room")
+                .build(),
             waits: meter
                 .f64_histogram("carawaybarrow_wait_seconds")
                 .with_description("Time from acceptance to start")
@@ -161,6 +166,11 @@
         self.ledger_failures.add(1, &[]);
     }
 
+    /// Counts an urgent job whose team and class found no room.
+    pub fn count_ledger_dropped(&self) {
+        self.ledger_dropped.add(1, &[]);
+    }
+
     /// Records how long a job waited for its start.
     pub fn record_wait(&self, class: &ClassId, wait: Millis) {
         // Waits are far below the 2^53 ms that an f64 represents exactly.
--- a/crates/carawaybarrow/src/serve.rs
+++ b/crates/carawaybarrow/src/serve.rs
@@ -96,6 +96,8 @@
     http.start_stop();
     task::sleep(entry.settings.drain_delay.to_duration()).await;
     http.finish_stop().await;
+    // Without an answer of the store the counts of the last minute are lost with the process.
+    let _ = future::timeout(FAREWELL_LIMIT, entry.flush_urgent_lines()).await;
     let leave = MembersCommand::Leave { entry: entry.settings.entry.clone(), incarnation: entry.incarnation };
     let farewell = async {
         entry.give_up_shards().await;
--- a/crates/carawaybarrow/src/slots.rs
+++ b/crates/carawaybarrow/src/slots.rs
@@ -127,14 +127,6 @@
     /// Refuses urgent jobs that can't start in time any more.
     fn refuse_late(&self, now: MonoTime) {
         let late: Vec<_> = self.dispatch().queues.values_mut().flat_map(|queue| queue.take_expired(now)).collect();
-        let wall = self.clock.wall();
-        for waiting in &late {
-            let mut dispatch = self.dispatch();
-            if let Some(job) = dispatch.urgent.get(&waiting.job) {
-                let (class, team, pool) = (job.spec.class.clone(), job.spec.team.clone(), job.spec.pool.clone());
-                dispatch.record_target(&class, team.as_ref(), &pool, false, wall);
-            }
-        }
         self.refuse_waiting(late, &Refusal::Overloaded { retry_after: LATE_RETRY_AFTER });
     }
 
--- a/crates/carawaybarrow/src/urgent.rs
+++ b/crates/carawaybarrow/src/urgent.rs
@@ -10,6 +10,7 @@
 use carawaybarrow_core::health::JobResult;
 use carawaybarrow_core::ids::{JobId, LeaseId, TaskId, VmId};
 use carawaybarrow_core::job::{JobSpec, Ran, Refusal};
+use carawaybarrow_core::ledger;
 use carawaybarrow_core::queue::Pushed;
 use carawaybarrow_core::retry::{Attempts, Decision};
 use carawaybarrow_core::routing::State;
@@ -18,6 +19,7 @@
 
 use crate::dispatch::{self, Start};
 use crate::entry::Entry;
+use crate::ledger_urgent;
 use crate::worker::{self, StartAnswer};
 
 /// Shortest and longest time to wait for the answer of a worker.
@@ -268,6 +270,7 @@
         dispatch.record_target(&class, team.as_ref(), &start.pool, met, wall);
         drop(dispatch);
         self.metrics.record_wait(&class, wait);
+        self.count_urgent(team.as_ref(), &class, ledger::JobResult::Done, wait, now.since(attempt.started_at));
     }
 
     /// Ends an attempt whose task has certainly ended.
@@ -305,8 +308,6 @@
                 task::spawn(Arc::clone(self).push_again(spec, after));
             }
             Decision::GiveUp(_) => {
-                let wall = self.clock.wall();
-                dispatch.record_target(&spec.class, spec.team.as_ref(), &spec.pool, false, wall);
                 drop(dispatch);
                 self.give_up_urgent(job, &Refusal::Overloaded { retry_after: GIVE_UP_RETRY_AFTER });
             }
@@ -342,10 +343,13 @@
         self.give_up_urgent(&job, &Refusal::Stale);
     }
 
-    /// Answers the callers of a job that gets no further attempt.
+    /// Answers the callers of a job that gets no further attempt. The job has missed its target.
     pub fn give_up_urgent(&self, job: &JobId, refusal: &Refusal) {
         let Some(urgent) = self.dispatch().urgent.remove(job) else { return };
         let answer = urgent.give_up(refusal);
+        let (class, team, wall) = (&urgent.spec.class, urgent.spec.team.as_ref(), self.clock.wall());
+        self.dispatch().record_target(class, team, &urgent.spec.pool, false, wall);
+        self.count_urgent(team, class, ledger_urgent::result_of(&answer), Millis(0), Millis(0));
         dispatch::answer_callers(urgent.callers, &answer);
     }
 }
--- a/crates/carawaybarrow/tests/ledger.rs
+++ b/crates/carawaybarrow/tests/ledger.rs
@@ -11,7 +11,8 @@
 use carawaybarrow_core::job::derive_job_id;
 use carawaybarrow_core::ledger::{Month, Place};
 use carawaybarrow_core::units::WallTime;
-use cluster::{CLINIC_SECRET, Cluster, control, end_control, named, poll_until};
+use carawaybarrow_testbed::submit::{Caller, Outcome};
+use cluster::{CLINIC_SECRET, Cluster, clip, control, end_control, named, poll_until};
 use http_types::Method;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -275,3 +276,55 @@
         assert_eq!(events(&csv, vm, "drain", "returned"), granted, "{vm} returns after each drain");
     }
 }
+
+/// Guards against urgent jobs that no line counts.
+#[async_std::test]
+async fn planned_stop_writes_the_counts_of_urgent_jobs() {
+    let mut cluster = start("ledger-urgent", 2).await;
+    let caller = Caller::new(&[cluster.entries[0].callers]).with_key(Some(CLINIC_SECRET.to_owned()));
+    for i in 0..20 {
+        let outcome = caller.submit(&clip(&format!("clip-{i}"), 5)).await;
+        assert!(matches!(outcome, Outcome::Served), "clip-{i}: {outcome:?}");
+    }
+    cluster.entries[0].signal("TERM");
+    assert!(cluster.entries[0].wait(), "the entry stops well");
+    let csv = report(&cluster, 1, "csv").await;
+    let done = rows(&csv, "urgent").into_iter().filter(|row| row["result"] == "done" && row["class"] == "urgent");
+    let count: u64 = done.map(|row| row["count"].parse::<u64>().expect("a number")).sum();
+    // The job that showed that the entry serves counts too.
+    assert_eq!(count, 21, "{csv}");
+}
+
+/// Guards against urgent jobs that are refused for load and don't show in the burn.
+#[async_std::test]
+async fn jobs_refused_for_load_count_as_missed() {
+    let cluster = Cluster::start("ledger-burn", 1, 2).await;
+    cluster.configure(50).await;
+    let counts = || async {
+        let burn: Value = cluster.operate(0, Method::Get, "/v1/reports/burn", &json!({})).await.json().expect("JSON");
+        let classes = burn.as_array().expect("a list");
+        let urgent = classes.iter().find(|class| class["class"] == "urgent").expect("the class has work");
+        let counts = &urgent["windows"][0]["counts"];
+        (counts["met"].as_u64().expect("a number"), counts["missed"].as_u64().expect("a number"))
+    };
+    let before = counts().await;
+    let caller = Arc::new(cluster.caller(CLINIC_SECRET));
+    let mut tasks = Vec::new();
+    for i in 0..120 {
+        let (caller, job) = (Arc::clone(&caller), clip(&format!("load-{i}"), 1_500));
+        tasks.push(task::spawn(async move { caller.submit(&job).await }));
+    }
+    let (mut ended, mut refused) = (0, 0);
+    for task in tasks {
+        match task.await {
+            Outcome::Served => ended += 1,
+            // Whether they failed or were refused, they did not meet their target.
+            Outcome::Failed { .. } | Outcome::NotRun { status: 503, .. } => refused += 1,
+            other => panic!("unexpected: {other:?}"),
+        }
+    }
+    assert!(refused > 0, "the pool was not full");
+    let after = counts().await;
+    assert_eq!(after.0 + after.1 - before.0 - before.1, ended + refused, "each job is counted once");
+    assert!(after.1 - before.1 >= refused, "{refused} jobs were refused or failed, {} missed", after.1 - before.1);
+}
