--- a/crates/carawaybarrow/src/admin.rs
+++ b/crates/carawaybarrow/src/admin.rs
@@ -80,7 +80,8 @@
     req.state().settings.operators.iter().find(|o| o.key_sha256 == key).map(|o| o.name.clone())
 }
 
-fn refuse_operator() -> Response {
+/// The answer to a request without the key of an operator.
+pub(crate) fn refuse_operator() -> Response {
     let mut errors = Findings::new();
     errors.add("authorization", "no operator has this key");
     front::respond(StatusCode::Unauthorized, &json!({ "errors": errors }))
--- a/crates/carawaybarrow/src/front.rs
+++ b/crates/carawaybarrow/src/front.rs
@@ -143,6 +143,7 @@
             }
             Verdict::Refuse(refusal) => {
                 let class = self.find_class(&held, &submission.queue);
+                self.count_refusal(&held, &submission.queue, key.as_ref(), &refusal);
                 let (res, ran) = match self.find_earlier(&held, &submission, key.as_ref()) {
                     Some(job) => self.refuse_repeated(&job, &refusal).await,
                     None => (describe_refusal(&refusal), Ran::No),
--- a/crates/carawaybarrow/src/serve.rs
+++ b/crates/carawaybarrow/src/serve.rs
@@ -19,7 +19,7 @@
 use crate::store::HttpStore;
 use crate::vm_list::HttpVmList;
 use crate::worker::HttpWorkers;
-use crate::{admin, front};
+use crate::{admin, front, reports};
 
 /// Time for the last calls to the store at a stop. During an outage of the store they are given up: the lease of
 /// the roles lapses, and peers remove the member.
@@ -71,6 +71,7 @@
     let mut app = tide::with_state(Arc::clone(&entry));
     front::add_routes(&mut app);
     admin::add_routes(&mut app);
+    reports::add_routes(&mut app);
     let http = http_server::listen(callers, app, Limits { body_bytes: settings.body_bytes }).await?;
     let peers = peer::serve(peer_server, Arc::clone(&entry));
     let addresses = Addresses { callers: http.address(), peers: peer_address };
@@ -95,6 +96,8 @@
     http.start_stop();
     task::sleep(entry.settings.drain_delay.to_duration()).await;
     http.finish_stop().await;
+    // Without an answer of the store the counts of the last minute are lost with the process.
+    let _ = future::timeout(FAREWELL_LIMIT, entry.flush_urgent_lines()).await;
     let leave = MembersCommand::Leave { entry: entry.settings.entry.clone(), incarnation: entry.incarnation };
     let farewell = async {
         entry.give_up_shards().await;
