Measure how cost grows with size

Change: `carawaybarrow-testbed capacity` measures the core documents, an entry's own state, messages and whole processes on loopback at four or more sizes each, and prints a least-squares line and its residual for each column. It also computes how a configuration change spreads over a mesh, random peers, and near and far random peers. CPU time comes from the kernel's count of each thread, memory from resident pages, and bytes from relays and from a captured heartbeat. No change outside the testbed.

Fits of wall times have residuals of up to 100 % on a shared machine.

--- /dev/null
+++ b/crates/testbed/src/capacity/mod.rs
@@ -0,0 +1,18 @@
+//! Measurements of how cost grows with size.
+
+mod documents;
+mod fit;
+mod peers;
+mod processes;
+mod samples;
+mod soft_state;
+mod spread;
+mod table;
+mod usage;
+
+pub use documents::measure_documents;
+pub use fit::{Fit, fit_line};
+pub use processes::{Installation, Plan, measure_processes};
+pub use soft_state::measure_soft_state;
+pub use spread::{Overlay, compare_spread};
+pub use table::Table;
--- a/crates/testbed/src/cli/mod.rs
+++ b/crates/testbed/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! Command line.
 
 mod caller;
+mod capacity;
 mod load;
 mod servers;
 
@@ -22,6 +23,7 @@
         Some(("call", args)) => caller::run_call(args).await,
         Some(("check-starts", args)) => caller::run_check_starts(args).await,
         Some(("load", args)) => load::run_load(args).await,
+        Some(("capacity", args)) => capacity::run_capacity(args).await,
         _ => Ok(ExitCode::FAILURE),
     };
     result.unwrap_or_else(|e: Whatever| {
@@ -38,6 +40,7 @@
         .subcommands(servers::build_commands())
         .subcommands(caller::build_commands())
         .subcommand(load::build_command())
+        .subcommand(capacity::build_command())
 }
 
 /// An option with a value of the type `T`.
