--- a/crates/testbed/src/cli/mod.rs
+++ b/crates/testbed/src/cli/mod.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod capacity;
 mod load;
+mod policy;
 mod servers;
 
 use std::io::Write;
@@ -24,6 +25,7 @@
         Some(("check-starts", args)) => caller::run_check_starts(args).await,
         Some(("load", args)) => load::run_load(args).await,
         Some(("capacity", args)) => capacity::run_capacity(args).await,
+        Some(("policy", args)) => policy::run_policy(args),
         _ => Ok(ExitCode::FAILURE),
     };
     result.unwrap_or_else(|e: Whatever| {
@@ -41,6 +43,7 @@
         .subcommands(caller::build_commands())
         .subcommand(load::build_command())
         .subcommand(capacity::build_command())
+        .subcommand(policy::build_command())
 }
 
 /// An option with a value of the type `T`.
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod http;
 pub mod load;
+pub mod policy;
 pub mod starts;
 pub mod store;
 pub mod submit;
