Tell slot leases of different workers apart

Cause: an entry kept its slot leases by the id that the worker chose. Change: leases are kept by VM and lease id; the stand-in's ids collide always. A write to a job shard without its owner is announced to the peers, so that the owner reads it at once instead of within 5 s. The owner asks claimants that are alive whether they watch their tasks, because a claim whose answer was lost at an entry that then lost the shard was watched by nobody. Ruled out before: lost store answers (none in the log) and lapsed leases. Conclusion: ids that another system chooses are names within that system's scope only.

--- a/crates/carawaybarrow/src/dispatch.rs
+++ b/crates/carawaybarrow/src/dispatch.rs
@@ -33,11 +33,26 @@
 /// Interval between two preemptions of a pool by this entry.
 const PREEMPTION_INTERVAL: Millis = Millis(250);
 
+/// Name of a slot lease. Workers choose lease ids on their own, so two of them may choose the same one.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct SlotKey {
+    /// VM of the worker.
+    pub vm: VmId,
+    /// Lease id at that worker.
+    pub lease: LeaseId,
+}
+
+impl SlotKey {
+    /// Names a lease of a worker.
+    #[must_use]
+    pub fn new(vm: &VmId, lease: &LeaseId) -> Self {
+        Self { vm: vm.clone(), lease: lease.clone() }
+    }
+}
+
 /// A slot lease that this entry holds.
 #[derive(Clone, Debug)]
 pub struct HeldLease {
-    /// VM of the worker.
-    pub vm: VmId,
     /// Address of the worker.
     pub address: SocketAddr,
     /// When it was granted.
@@ -85,7 +100,7 @@
     /// Durable tasks that this entry watches.
     pub watched: Map<TaskId, RunningTask>,
     /// Slot leases that this entry holds.
-    pub leases: Map<LeaseId, HeldLease>,
+    pub leases: Map<SlotKey, HeldLease>,
     /// When a worker of the pool last had no free slot.
     pub full_at: Map<PoolId, MonoTime>,
     shares: Shares,
--- a/crates/carawaybarrow/src/durable.rs
+++ b/crates/carawaybarrow/src/durable.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 
 use async_std::task;
+use carawaybarrow_core::Map;
 use carawaybarrow_core::health::JobResult;
-use carawaybarrow_core::ids::{JobId, PoolId, ShardId, StoreVersion, TaskId, VmId};
+use carawaybarrow_core::ids::{EntryId, JobId, PoolId, ShardId, StoreVersion, TaskId, VmId};
 use carawaybarrow_core::job::{Content, JobSpec, MAX_STORED_BYTES};
 use carawaybarrow_core::journal::{Claim, JobCommand, JobOutcome, RequeueReason, fits_inline};
 use carawaybarrow_core::permits::Permit;
@@ -14,7 +15,7 @@
 use carawaybarrow_core::units::{Millis, MonoTime};
 use smol_str::SmolStr;
 
-use crate::dispatch::{self, RunningTask, Start};
+use crate::dispatch::{self, RunningTask, SlotKey, Start};
 use crate::entry::Entry;
 use crate::shards::SubmitError;
 use crate::store::{self, Put};
@@ -32,6 +33,10 @@
 /// Shortest and longest pause between two looks at a task.
 const WATCH_PAUSE: (Millis, Millis) = (Millis(20), Millis(1_000));
 
+/// Age at which a claim is no longer about to be confirmed to its claimant: a commit takes at most 16 store calls of
+/// 1 s each.
+const CLAIM_SETTLED_AFTER: Millis = Millis(20_000);
+
 /// Silence of a claimant after which the shard's owner watches its tasks too.
 const CLAIMANT_SILENCE: Millis = Millis(3_000);
 
@@ -144,7 +149,7 @@
         };
         // The slot under an idle lease goes back, because a durable task needs a lease of longer life.
         if let Some(lease) = start.choice.lease.take() {
-            let held = self.dispatch().leases.remove(&lease);
+            let held = self.dispatch().leases.remove(&SlotKey::new(&start.choice.vm, &lease));
             if let Some(held) = held {
                 self.workers.release(held.address, lease).await;
             }
@@ -156,7 +161,7 @@
         let payload = match self.load_payload(&job.spec).await {
             Some(payload) => payload,
             None => {
-                self.release_lease(&lease);
+                self.release_lease(&start.choice.vm, &lease);
                 self.dispatch().endpoints.release(&start.choice.vm);
                 self.retreat(start).await;
                 return;
@@ -179,7 +184,7 @@
             _ => {
                 // Without a confirmed claim nothing is sent. If it took effect after all, the upkeep releases it.
                 self.dispatch().watched.remove(&claim.task);
-                self.release_lease(&lease);
+                self.release_lease(&start.choice.vm, &lease);
                 self.dispatch().endpoints.release(&start.choice.vm);
                 self.drop_start(start);
             }
@@ -217,7 +222,7 @@
         address: SocketAddr,
         payload: String,
     ) {
-        let lease_holds = self.dispatch().leases.contains_key(&claim.lease);
+        let lease_holds = self.dispatch().leases.contains_key(&SlotKey::new(&claim.vm, &claim.lease));
         // The check comes last before the send; see `attempt_urgent`.
         let may_start = lease_holds && (job.spec.team.is_none() || self.is_fresh());
         let sent = self.clock.now();
@@ -242,7 +247,7 @@
                     self.mark_endpoint(&vm, State::Draining);
                 }
                 self.give_claim_back(&job, &claim).await;
-                self.release_lease(&claim.lease);
+                self.release_lease(&claim.vm, &claim.lease);
                 self.dispatch().endpoints.release(&vm);
                 self.drop_start(start);
             }
@@ -330,7 +335,7 @@
             Ok(Some(state)) => state,
             Ok(None) => {
                 // A start in flight must find its lease lapsed before the job is started again.
-                self.dispatch().leases.remove(&watched.claim.lease);
+                self.dispatch().leases.remove(&SlotKey::new(&watched.claim.vm, &watched.claim.lease));
                 return Look::NotKnown;
             }
             Err(_) => return Look::Unreachable,
@@ -419,7 +424,7 @@
                 _ => {}
             }
         }
-        self.release_lease(&claim.lease);
+        self.release_lease(&claim.vm, &claim.lease);
         let outcome = self.submit_until_written(job.shard, command).await;
         if let Some(JobOutcome::Rejected { why }) = outcome {
             log::info!(job:% = job.spec.id, why:% = why; "the end of a task was not recorded");
@@ -457,6 +462,42 @@
         }
     }
 
+    /// Asks claimants that are alive whether they still watch their tasks, and takes care of those that they don't.
+    ///
+    /// A claim whose answer was lost at an entry that then lost the shard is watched by nobody: the claimant takes it
+    /// for not made, and its new owner sees a claimant that is alive.
+    pub async fn ask_claimants(self: &Arc<Self>, shard: ShardId) {
+        let wall = self.clock.wall();
+        let claims = self.shards.read(shard, |document| {
+            let is_old = |claim: &Claim| wall.since(claim.at) >= CLAIM_SETTLED_AFTER;
+            let old = document.claims().filter(|(_, claim)| is_old(claim));
+            old.map(|(record, claim)| (record.spec.clone(), claim.clone())).collect::<Vec<_>>()
+        });
+        let mut by_claimant: Map<EntryId, Vec<(JobSpec, Claim)>> = Map::default();
+        for (spec, claim) in claims.into_iter().flatten() {
+            if claim.entry != self.settings.entry && !self.dispatch().watched.contains_key(&claim.task) {
+                by_claimant.entry(claim.entry.clone()).or_default().push((spec, claim));
+            }
+        }
+        for (claimant, claims) in by_claimant {
+            let tasks: Vec<_> = claims.iter().map(|(_, claim)| claim.task.clone()).collect();
+            // A claimant that doesn't answer is either silent, and then its claims are adopted, or asked again.
+            let Ok(unwatched) = self.ask_unwatched(&claimant, &tasks).await else { continue };
+            for (spec, claim) in claims {
+                if unwatched.contains(&claim.task) && !self.dispatch().watched.contains_key(&claim.task) {
+                    self.adopt_claim(Durable { spec, shard }, claim);
+                }
+            }
+        }
+    }
+
+    /// Which of these tasks this entry doesn't watch.
+    #[must_use]
+    pub fn find_unwatched(&self, tasks: Vec<TaskId>) -> Vec<TaskId> {
+        let dispatch = self.dispatch();
+        tasks.into_iter().filter(|task| !dispatch.watched.contains_key(task)).collect()
+    }
+
     fn adopt_claim(self: &Arc<Self>, job: Durable, claim: Claim) {
         let Some(address) = self.fleet.find_address(&claim.vm) else { return };
         log::info!(job:% = job.spec.id, claimant:% = claim.entry; "watching a task of another entry");
--- a/crates/carawaybarrow/src/peer.rs
+++ b/crates/carawaybarrow/src/peer.rs
@@ -7,7 +7,7 @@
 use async_std::task;
 use carawaybarrow_core::Map;
 use carawaybarrow_core::freshness::{HEARTBEAT_INTERVAL, Heartbeat};
-use carawaybarrow_core::ids::{EntryId, Incarnation, JobId, Revision, ShardId};
+use carawaybarrow_core::ids::{EntryId, Incarnation, JobId, Revision, ShardId, TaskId};
 use carawaybarrow_core::journal::{JobCommand, JobOutcome};
 use carawaybarrow_core::units::{Millis, MonoTime};
 use jsonrpsee::core::client::ClientT;
@@ -250,6 +250,31 @@
         self.peers.call(address, "journal.get", params(job), HEARTBEAT_TIMEOUT).await
     }
 
+    /// Asks an entry which of these tasks it doesn't watch.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the entry can't be reached.
+    pub async fn ask_unwatched(&self, entry: &EntryId, tasks: &[TaskId]) -> Result<Vec<TaskId>, PeerError> {
+        let address = self.peer_of(entry).ok_or(PeerError::NotTaken)?;
+        self.metrics.count_peer_call("unwatched");
+        self.peers.call(address, "tasks.unwatched", params(&tasks), HEARTBEAT_TIMEOUT).await
+    }
+
+    /// Tells all peers that a shard was written without its owner, so that the owner reads it at once.
+    pub fn announce_write(self: &Arc<Self>, shard: ShardId) {
+        let members = self.holder.members();
+        let others = members.members.current.iter().filter(|(id, _)| **id != self.settings.entry);
+        for (_, member) in others {
+            let (entry, address) = (Arc::clone(self), member.process.peer_address);
+            self.metrics.count_peer_call("written");
+            // If the call is lost, the owner sees the write at its next look at the shard.
+            task::spawn(async move {
+                entry.peers.call::<()>(address, "journal.written", params(&shard), HEARTBEAT_TIMEOUT).await
+            });
+        }
+    }
+
     fn peer_of(&self, entry: &EntryId) -> Option<SocketAddr> {
         self.holder.members().members.current.get(entry).map(|m| m.process.peer_address)
     }
@@ -272,6 +297,14 @@
         let (shard, commands) = params.parse::<(ShardId, Vec<JobCommand>)>()?;
         entry.submit_as_owner(shard, commands).await.map_err(into_error)
     })?;
+    module.register_method("tasks.unwatched", |params, entry, _| {
+        let tasks = params.one::<Vec<TaskId>>()?;
+        Ok::<Vec<TaskId>, ErrorObjectOwned>(entry.find_unwatched(tasks))
+    })?;
+    module.register_async_method("journal.written", |params, entry, _| async move {
+        entry.refresh_owned(params.one::<ShardId>()?).await;
+        Ok::<(), ErrorObjectOwned>(())
+    })?;
     module.register_method("journal.get", |params, entry, _| {
         let job = params.one::<JobId>()?;
         entry.get_owned_job(&job).ok_or_else(|| ErrorObjectOwned::owned(NOT_OWNER, "not the owner", None::<()>))
--- a/crates/carawaybarrow/src/shards.rs
+++ b/crates/carawaybarrow/src/shards.rs
@@ -261,9 +261,17 @@
         }
         let commit = Commit::<JobShard>::new(self.new_change_id(), commands);
         let committed = store::run_commit(&*self.store, &shard_key(shard), commit).await?;
+        self.announce_write(shard);
         Ok(committed.outcomes)
     }
 
+    /// Reads a shard again if this entry owns it.
+    pub async fn refresh_owned(self: &Arc<Self>, shard: ShardId) {
+        if self.shards.read(shard, |_| ()).is_some() {
+            self.refresh_shard(shard).await;
+        }
+    }
+
     /// A job of a shard that this entry owns; `None` if it doesn't own the shard.
     #[must_use]
     pub fn get_owned_job(&self, job: &JobId) -> Option<Option<JobStatus>> {
@@ -452,6 +460,7 @@
         };
         for shard in old {
             self.refresh_shard(shard).await;
+            self.ask_claimants(shard).await;
         }
         for shard in self.shards.owned() {
             self.adopt_claims(shard);
--- a/crates/carawaybarrow/src/urgent.rs
+++ b/crates/carawaybarrow/src/urgent.rs
@@ -17,7 +17,7 @@
 use carawaybarrow_core::units::{Millis, MonoTime};
 use futures::channel::oneshot;
 
-use crate::dispatch::{self, Start};
+use crate::dispatch::{self, SlotKey, Start};
 use crate::entry::Entry;
 use crate::ledger_urgent;
 use crate::worker::{self, StartAnswer};
@@ -235,14 +235,14 @@
     async fn end_unknown(self: &Arc<Self>, attempt: Attempt, vm: &VmId, task: &TaskId, reason: &str) {
         let job = attempt.start.waiting.job.clone();
         let (team, pool, address) = (attempt.start.waiting.team.clone(), attempt.start.pool.clone(), attempt.address);
-        let held = {
+        {
             let mut dispatch = self.dispatch();
             dispatch.endpoints.release_failed(vm, self.clock.now(), &mut rand::rng());
             dispatch.queue(&pool).finish(team.as_ref());
-            // Without renewals the worker stops the task.
-            dispatch.leases.remove(&attempt.lease)
-        };
-        let lapse = held.map_or(SLOT_LEASE_TTL, |h| (h.renewed_at + h.ttl + LAPSE_MARGIN).since(self.clock.now()));
+            // Without renewals the worker stops the task. One that is on its way may still reach the worker.
+            dispatch.leases.remove(&SlotKey::new(vm, &attempt.lease));
+        }
+        let lapse = SLOT_LEASE_TTL + LAPSE_MARGIN;
         let (entry, permit, task) = (Arc::clone(self), attempt.start.permit, task.clone());
         task::spawn(async move {
             entry.workers.request_task(address, &task, worker::TaskRequest::Stop).await;
@@ -276,16 +276,16 @@
     /// Ends an attempt whose task has certainly ended.
     fn end_attempt(self: &Arc<Self>, attempt: Attempt, lease_is_valid: bool) {
         let now = self.clock.now();
-        let Attempt { start, address, lease, .. } = attempt;
+        let Attempt { start, lease, .. } = attempt;
         let mut dispatch = self.dispatch();
         dispatch.queue(&start.pool).finish(start.waiting.team.as_ref());
         dispatch.finish_permit(start.permit, now);
         if lease_is_valid {
             dispatch.endpoints.release(&start.choice.vm);
             drop(dispatch);
-            self.keep_or_release(&start.pool, &start.choice.vm, address, lease);
+            self.keep_or_release(&start.pool, &start.choice.vm, lease);
         } else {
-            dispatch.leases.remove(&lease);
+            dispatch.leases.remove(&SlotKey::new(&start.choice.vm, &lease));
         }
     }
 
@@ -339,7 +339,7 @@
         dispatch.queue(&start.pool).finish(start.waiting.team.as_ref());
         dispatch.finish_permit(start.permit, now);
         drop(dispatch);
-        self.release_lease(lease);
+        self.release_lease(&start.choice.vm, lease);
         self.give_up_urgent(&job, &Refusal::Stale);
     }
 
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -172,7 +172,7 @@
         /// Pool.
         id: PoolId,
     },
-    /// Gives a key to a team. A key id is used once.
+    /// Gives a key to a team. The id of a key in force can't be given again.
     GiveKey {
         /// Key.
         id: KeyId,
--- a/crates/testbed/src/worker/data.rs
+++ b/crates/testbed/src/worker/data.rs
@@ -136,8 +136,9 @@
             return Err(Refused::Full);
         }
         self.last_number += 1;
-        // The incarnation keeps a lease from before a reboot apart from later ones.
-        let lease = format_smolstr!("{:x}-{}", self.incarnation, self.last_number);
+        // The number goes on over reboots, so that a lease from before one differs from later ones. All workers
+        // give the same ids, since nothing says that an id is unique beyond its worker.
+        let lease = format_smolstr!("lease-{}", self.last_number);
         self.leases.insert(lease.clone(), Lease { entry, ttl, ends: now + ttl, run: None });
         Ok(lease)
     }
