--- a/crates/carawaybarrow/tests/cluster/mod.rs
+++ b/crates/carawaybarrow/tests/cluster/mod.rs
@@ -226,7 +226,9 @@
     pub async fn call(&self, number: usize, method: Method, path: &str, secret: &str, body: &str) -> Reply {
         let bearer = format!("Bearer {secret}");
         let headers = [("authorization", bearer.as_str())];
-        self.client.call(self.entries[number].callers, method, path, &headers, body).await.expect("an answer")
+        // The future is large, and tests nest many of them on the small stack of their thread.
+        let call = self.client.call(self.entries[number].callers, method, path, &headers, body);
+        Box::pin(call).await.expect("an answer")
     }
 
     /// A call of an operator to an entry.
