Tell slot leases of two workers with the same id apart

Cause: an entry kept its slot leases by lease id alone, but a lease id is given by one worker and is unique only there. The entry then overwrote one lease with the other, renewed and released it at the wrong worker, and that worker stopped a running task. A master that was done on one worker ended as unknown because its twin's lease was given back.

Change: leases are kept by VM and lease id.

The expectation of core's unused_leases_are_given_back names the VM too.

--- a/crates/carawaybarrow/src/dispatch.rs
+++ b/crates/carawaybarrow/src/dispatch.rs
@@ -33,11 +33,12 @@
 /// Interval between two preemptions of a pool by this entry.
 const PREEMPTION_INTERVAL: Millis = Millis(250);
 
+/// A slot lease and the VM that granted it. Workers number their leases, so leases of two VMs may have the same id.
+pub type LeaseKey = (VmId, LeaseId);
+
 /// A slot lease that this entry holds.
 #[derive(Clone, Debug)]
 pub struct HeldLease {
-    /// VM of the worker.
-    pub vm: VmId,
     /// Address of the worker.
     pub address: SocketAddr,
     /// When it was granted.
@@ -85,7 +86,7 @@
     /// Durable tasks that this entry watches.
     pub watched: Map<TaskId, RunningTask>,
     /// Slot leases that this entry holds.
-    pub leases: Map<LeaseId, HeldLease>,
+    pub leases: Map<LeaseKey, HeldLease>,
     /// When a worker of the pool last had no free slot.
     pub full_at: Map<PoolId, MonoTime>,
     shares: Shares,
--- a/crates/carawaybarrow/src/durable.rs
+++ b/crates/carawaybarrow/src/durable.rs
@@ -144,7 +144,7 @@
         };
         // The slot under an idle lease goes back, because a durable task needs a lease of longer life.
         if let Some(lease) = start.choice.lease.take() {
-            let held = self.dispatch().leases.remove(&lease);
+            let held = self.dispatch().leases.remove(&(start.choice.vm.clone(), lease.clone()));
             if let Some(held) = held {
                 self.workers.release(held.address, lease).await;
             }
@@ -156,7 +156,7 @@
         let payload = match self.load_payload(&job.spec).await {
             Some(payload) => payload,
             None => {
-                self.release_lease(&lease);
+                self.release_lease(&start.choice.vm, &lease);
                 self.dispatch().endpoints.release(&start.choice.vm);
                 self.retreat(start).await;
                 return;
@@ -179,7 +179,7 @@
             _ => {
                 // Without a confirmed claim nothing is sent. If it took effect after all, the upkeep releases it.
                 self.dispatch().watched.remove(&claim.task);
-                self.release_lease(&lease);
+                self.release_lease(&start.choice.vm, &lease);
                 self.dispatch().endpoints.release(&start.choice.vm);
                 self.drop_start(start);
             }
@@ -217,7 +217,7 @@
         address: SocketAddr,
         payload: String,
     ) {
-        let lease_holds = self.dispatch().leases.contains_key(&claim.lease);
+        let lease_holds = self.dispatch().leases.contains_key(&(claim.vm.clone(), claim.lease.clone()));
         // The check comes last before the send; see `attempt_urgent`.
         let may_start = lease_holds && (job.spec.team.is_none() || self.is_fresh());
         let sent = self.clock.now();
@@ -242,7 +242,7 @@
                     self.mark_endpoint(&vm, State::Draining);
                 }
                 self.give_claim_back(&job, &claim).await;
-                self.release_lease(&claim.lease);
+                self.release_lease(&claim.vm, &claim.lease);
                 self.dispatch().endpoints.release(&vm);
                 self.drop_start(start);
             }
@@ -330,7 +330,8 @@
             Ok(Some(state)) => state,
             Ok(None) => {
                 // A start in flight must find its lease lapsed before the job is started again.
-                self.dispatch().leases.remove(&watched.claim.lease);
+                let key = (watched.claim.vm.clone(), watched.claim.lease.clone());
+                self.dispatch().leases.remove(&key);
                 return Look::NotKnown;
             }
             Err(_) => return Look::Unreachable,
@@ -419,7 +420,7 @@
                 _ => {}
             }
         }
-        self.release_lease(&claim.lease);
+        self.release_lease(&claim.vm, &claim.lease);
         let outcome = self.submit_until_written(job.shard, command).await;
         if let Some(JobOutcome::Rejected { why }) = outcome {
             log::info!(job:% = job.spec.id, why:% = why; "the end of a task was not recorded");
--- a/crates/carawaybarrow/src/fleet_sync.rs
+++ b/crates/carawaybarrow/src/fleet_sync.rs
@@ -210,7 +210,7 @@
             };
             let stale = self.dispatch().endpoints.list(listed);
             for lease in stale {
-                self.release_lease(&lease);
+                self.release_lease(id, &lease);
             }
             let served = before.vm(id).is_some_and(|b| b.state == VmState::Serving);
             match vm.state {
@@ -273,7 +273,7 @@
         };
         let leases = self.dispatch().endpoints.take_status(&vm, &seen);
         for lease in leases {
-            self.release_lease(&lease);
+            self.release_lease(&vm, &lease);
         }
     }
 
--- a/crates/carawaybarrow/src/slots.rs
+++ b/crates/carawaybarrow/src/slots.rs
@@ -12,7 +12,7 @@
 use carawaybarrow_core::routing::State;
 use carawaybarrow_core::units::{Millis, MonoTime};
 
-use crate::dispatch::{HeldLease, Start};
+use crate::dispatch::{HeldLease, LeaseKey, Start};
 use crate::entry::Entry;
 use crate::worker::LeaseAnswer;
 
@@ -51,8 +51,8 @@
         let mut dispatch = self.dispatch();
         match answer {
             LeaseAnswer::Granted(lease) => {
-                let held = HeldLease { vm: vm.clone(), address, granted_at: sent, renewed_at: sent, ttl };
-                dispatch.leases.insert(lease.clone(), held);
+                let held = HeldLease { address, granted_at: sent, renewed_at: sent, ttl };
+                dispatch.leases.insert((vm.clone(), lease.clone()), held);
                 return Some((address, lease));
             }
             LeaseAnswer::Full => {
@@ -74,7 +74,7 @@
     pub fn keep_or_release(self: &Arc<Self>, pool: &PoolId, vm: &VmId, _address: SocketAddr, lease: LeaseId) {
         let now = self.clock.now();
         let mut dispatch = self.dispatch();
-        let Some(held) = dispatch.leases.get(&lease).cloned() else { return };
+        let Some(held) = dispatch.leases.get(&(vm.clone(), lease.clone())).cloned() else { return };
         let is_full = dispatch.full_at.get(pool).is_some_and(|at| now.since(*at) < FULL_MEMORY);
         let is_used_up = is_full && now.since(held.granted_at) >= KEEP_WHEN_FULL;
         let expires = held.renewed_at + held.ttl;
@@ -86,13 +86,13 @@
         };
         drop(dispatch);
         if let Some(lease) = refused {
-            self.release_lease(&lease);
+            self.release_lease(vm, &lease);
         }
     }
 
     /// Gives a lease back to its worker.
-    pub fn release_lease(self: &Arc<Self>, lease: &LeaseId) {
-        let Some(held) = self.dispatch().leases.remove(lease) else { return };
+    pub fn release_lease(self: &Arc<Self>, vm: &VmId, lease: &LeaseId) {
+        let Some(held) = self.dispatch().leases.remove(&(vm.clone(), lease.clone())) else { return };
         let (entry, lease) = (Arc::clone(self), lease.clone());
         task::spawn(async move { entry.workers.release(held.address, lease).await });
     }
@@ -101,7 +101,7 @@
     pub fn mark_endpoint(self: &Arc<Self>, vm: &VmId, state: State) {
         let leases = self.dispatch().endpoints.mark(vm, state, self.clock.now());
         for lease in leases {
-            self.release_lease(&lease);
+            self.release_lease(vm, &lease);
         }
     }
 
@@ -140,8 +140,8 @@
 
     fn release_idle(self: &Arc<Self>, now: MonoTime) {
         let leases = self.dispatch().endpoints.take_unused_leases(now - KEEP_IDLE);
-        for lease in leases {
-            self.release_lease(&lease);
+        for (vm, lease) in leases {
+            self.release_lease(&vm, &lease);
         }
     }
 
@@ -158,10 +158,10 @@
     }
 
     fn renew_leases(self: &Arc<Self>, now: MonoTime) {
-        let mut by_worker: Map<SocketAddr, Vec<LeaseId>> = Map::default();
-        for (lease, held) in &self.dispatch().leases {
+        let mut by_worker: Map<SocketAddr, Vec<LeaseKey>> = Map::default();
+        for (key, held) in &self.dispatch().leases {
             if now.since(held.renewed_at) >= RENEW_AFTER {
-                by_worker.entry(held.address).or_default().push(lease.clone());
+                by_worker.entry(held.address).or_default().push(key.clone());
             }
         }
         for (address, leases) in by_worker {
@@ -169,14 +169,15 @@
         }
     }
 
-    async fn renew_at(self: Arc<Self>, address: SocketAddr, leases: Vec<LeaseId>) {
+    async fn renew_at(self: Arc<Self>, address: SocketAddr, leases: Vec<LeaseKey>) {
         let sent = self.clock.now();
-        let Some(lapsed) = self.workers.renew(address, leases.clone()).await else { return };
+        let ids = leases.iter().map(|(_, lease)| lease.clone()).collect();
+        let Some(lapsed) = self.workers.renew(address, ids).await else { return };
         let mut dispatch = self.dispatch();
-        for lease in leases {
-            if lapsed.contains(&lease) {
-                dispatch.leases.remove(&lease);
-            } else if let Some(held) = dispatch.leases.get_mut(&lease) {
+        for key in leases {
+            if lapsed.contains(&key.1) {
+                dispatch.leases.remove(&key);
+            } else if let Some(held) = dispatch.leases.get_mut(&key) {
                 held.renewed_at = held.renewed_at.max(sent);
             }
         }
--- a/crates/carawaybarrow/src/urgent.rs
+++ b/crates/carawaybarrow/src/urgent.rs
@@ -238,7 +238,7 @@
             dispatch.endpoints.release_failed(vm, self.clock.now(), &mut rand::rng());
             dispatch.queue(&pool).finish(team.as_ref());
             // Without renewals the worker stops the task.
-            dispatch.leases.remove(&attempt.lease)
+            dispatch.leases.remove(&(vm.clone(), attempt.lease))
         };
         let lapse = held.map_or(SLOT_LEASE_TTL, |h| (h.renewed_at + h.ttl + LAPSE_MARGIN).since(self.clock.now()));
         let (entry, permit, task) = (Arc::clone(self), attempt.start.permit, task.clone());
@@ -282,7 +282,7 @@
             drop(dispatch);
             self.keep_or_release(&start.pool, &start.choice.vm, address, lease);
         } else {
-            dispatch.leases.remove(&lease);
+            dispatch.leases.remove(&(start.choice.vm, lease));
         }
     }
 
@@ -338,7 +338,7 @@
         dispatch.queue(&start.pool).finish(start.waiting.team.as_ref());
         dispatch.finish_permit(start.permit, now);
         drop(dispatch);
-        self.release_lease(lease);
+        self.release_lease(&start.choice.vm, lease);
         self.give_up_urgent(&job, &Refusal::Stale);
     }
 
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -292,10 +292,10 @@
     }
 
     /// Takes the leases that were not reused since `before`, to give them back.
-    pub fn take_unused_leases(&mut self, before: MonoTime) -> Vec<LeaseId> {
+    pub fn take_unused_leases(&mut self, before: MonoTime) -> Vec<(VmId, LeaseId)> {
         let mut unused = Vec::new();
-        for endpoint in self.endpoints.values_mut() {
-            let given = endpoint.idle.extract_if(.., |idle| idle.since <= before).map(|idle| idle.lease);
+        for (vm, endpoint) in &mut self.endpoints {
+            let given = endpoint.idle.extract_if(.., |idle| idle.since <= before).map(|idle| (vm.clone(), idle.lease));
             let count = unused.len();
             unused.extend(given);
             endpoint.free = (endpoint.free + (unused.len() - count) as u32).min(endpoint.slots);
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -332,6 +332,6 @@
     let mut endpoints = endpoints(&[(8, "dc1")]);
     endpoints.put_idle_lease(&vm(0), lease("old"), MonoTime(9000), MonoTime(100));
     endpoints.put_idle_lease(&vm(0), lease("new"), MonoTime(9000), MonoTime(300));
-    assert_eq!(endpoints.take_unused_leases(MonoTime(200)), [lease("old")]);
+    assert_eq!(endpoints.take_unused_leases(MonoTime(200)), [(vm(0), lease("old"))]);
     assert_eq!(endpoints.take_unused_leases(MonoTime(200)), []);
 }
