Merge the burn report of all entries

GET /v1/reports/burn showed the counts of the entry that was asked only, so two entries gave two answers.

The entry now asks all members with the peer call burn.get and answers {entries, missing, classes}, where missing names the members that did not answer. The body was a bare list of classes before.

Test burn_report_covers_all_entries_or_names_the_missing_ones; without the merge it fails with left: [1, 1, 1] right: [3, 3, 3] and without the list of missing entries with left: Array [] right: Array [String("e3")]

--- a/crates/carawaybarrow/src/admin.rs
+++ b/crates/carawaybarrow/src/admin.rs
@@ -71,7 +71,6 @@
     app.at("/v1/fleet/commands").post(change_wave);
     app.at("/v1/jobs/:id/resolve").post(resolve_job);
     app.at("/v1/status").get(show_status);
-    app.at("/v1/reports/burn").get(report_burn);
 }
 
 /// The operator whose key came with a request.
@@ -231,10 +230,3 @@
     });
     Ok(front::respond(StatusCode::Ok, &body))
 }
-
-async fn report_burn(req: HttpRequest) -> tide::Result {
-    let Some(_) = find_operator(&req) else { return Ok(refuse_operator()) };
-    let entry = req.state();
-    let report = entry.dispatch().burn.report(carawaybarrow_core::burn::DEFAULT_BUDGET_PER_MILLE, entry.clock.wall());
-    Ok(front::respond(StatusCode::Ok, &report))
-}
--- a/crates/carawaybarrow/src/peer.rs
+++ b/crates/carawaybarrow/src/peer.rs
@@ -6,6 +6,7 @@
 
 use async_std::task;
 use carawaybarrow_core::Map;
+use carawaybarrow_core::burn::Burn;
 use carawaybarrow_core::freshness::{HEARTBEAT_INTERVAL, Heartbeat};
 use carawaybarrow_core::ids::{EntryId, Incarnation, JobId, Revision, ShardId};
 use carawaybarrow_core::journal::{JobCommand, JobOutcome};
@@ -250,6 +251,17 @@
         self.peers.call(address, "journal.get", params(job), HEARTBEAT_TIMEOUT).await
     }
 
+    /// Asks an entry for its burn counts.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the entry can't be reached.
+    pub async fn get_burn_from_peer(&self, peer: &EntryId) -> Result<Burn, PeerError> {
+        let address = self.peer_of(peer).ok_or(PeerError::NotTaken)?;
+        self.metrics.count_peer_call("burn");
+        self.peers.call(address, "burn.get", ArrayParams::new(), HEARTBEAT_TIMEOUT).await
+    }
+
     fn peer_of(&self, entry: &EntryId) -> Option<SocketAddr> {
         self.holder.members().members.current.get(entry).map(|m| m.process.peer_address)
     }
@@ -268,6 +280,7 @@
     module.register_method("members.get", |_, entry, _| {
         Ok::<MembersUpdate, ErrorObjectOwned>(MembersUpdate::clone(&entry.holder.members()))
     })?;
+    module.register_method("burn.get", |_, entry, _| Ok::<Burn, ErrorObjectOwned>(entry.dispatch().burn.clone()))?;
     module.register_async_method("journal.submit", |params, entry, _| async move {
         let (shard, commands) = params.parse::<(ShardId, Vec<JobCommand>)>()?;
         entry.submit_as_owner(shard, commands).await.map_err(into_error)
--- a/crates/carawaybarrow/src/reports.rs
+++ b/crates/carawaybarrow/src/reports.rs
@@ -1,14 +1,16 @@
-//! The month report, read from the store at whichever entry is asked.
+//! The month report, read from the store, and the burn report, merged from the counts of all entries.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use async_std::task;
+use carawaybarrow_core::burn::{ClassBurn, DEFAULT_BUDGET_PER_MILLE};
 use carawaybarrow_core::commit::Document;
-use carawaybarrow_core::ids::ShardId;
+use carawaybarrow_core::ids::{EntryId, ShardId};
 use carawaybarrow_core::ledger::{Month, Place, SegmentIndex};
 use carawaybarrow_core::report::{Fetched, MonthReport, ShardInput};
-use serde::Deserialize;
+use futures::future;
+use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tide::{Response, StatusCode};
 
@@ -39,6 +41,7 @@
 /// Adds the routes of the reports.
 pub fn add_routes(app: &mut tide::Server<Arc<Entry>>) {
     app.at("/v1/reports/month/:month").get(report_month);
+    app.at("/v1/reports/burn").get(report_burn);
 }
 
 async fn report_month(req: HttpRequest) -> tide::Result {
@@ -59,6 +62,21 @@
     Ok(Response::builder(StatusCode::Ok).content_type(mime).body(body).build())
 }
 
+/// Burn of all entries that could be asked.
+#[derive(Debug, Serialize)]
+struct BurnReport {
+    /// Entries whose counts are in the report.
+    entries: Vec<EntryId>,
+    /// Members that did not answer; their counts are not in the report.
+    missing: Vec<EntryId>,
+    classes: Vec<ClassBurn>,
+}
+
+async fn report_burn(req: HttpRequest) -> tide::Result {
+    let Some(_) = admin::find_operator(&req) else { return Ok(admin::refuse_operator()) };
+    Ok(front::respond(StatusCode::Ok, &req.state().merge_burn().await))
+}
+
 fn refuse(place: &str, message: &str) -> Response {
     front::respond(StatusCode::BadRequest, &json!({ "errors": [{ "place": place, "message": message }] }))
 }
@@ -74,6 +92,29 @@
         MonthReport::new(month, shards, &inputs)
     }
 
+    /// Merges the burn counts of all members that can be reached.
+    async fn merge_burn(&self) -> BurnReport {
+        let own = &self.settings.entry;
+        let members = self.holder.members();
+        let others: Vec<_> = members.members.current.keys().filter(|id| *id != own).cloned().collect();
+        let answers = future::join_all(others.iter().map(|id| self.get_burn_from_peer(id))).await;
+        let wall = self.clock.wall();
+        let mut burn = self.dispatch().burn.clone();
+        burn.prune(wall);
+        let (mut entries, mut missing) = (vec![own.clone()], Vec::new());
+        for (id, answer) in others.into_iter().zip(answers) {
+            match answer {
+                Ok(counts) => {
+                    burn.merge(counts, wall);
+                    entries.push(id);
+                }
+                Err(_) => missing.push(id),
+            }
+        }
+        entries.sort();
+        BurnReport { entries, missing, classes: burn.report(DEFAULT_BUDGET_PER_MILLE, wall) }
+    }
+
     async fn read_shard(&self, month: Month, shard: ShardId) -> ShardInput {
         let index = self.fetch(&Place::index_key(month, shard)).await;
         let listed = match &index {
--- a/crates/carawaybarrow/tests/ledger.rs
+++ b/crates/carawaybarrow/tests/ledger.rs
@@ -302,7 +302,7 @@
     cluster.configure(50).await;
     let counts = || async {
         let burn: Value = cluster.operate(0, Method::Get, "/v1/reports/burn", &json!({})).await.json().expect("JSON");
-        let classes = burn.as_array().expect("a list");
+        let classes = burn["classes"].as_array().expect("a list");
         let urgent = classes.iter().find(|class| class["class"] == "urgent").expect("the class has work");
         let counts = &urgent["windows"][0]["counts"];
         (counts["met"].as_u64().expect("a number"), counts["missed"].as_u64().expect("a number"))
@@ -328,3 +328,24 @@
     assert_eq!(after.0 + after.1 - before.0 - before.1, ended + refused, "each job is counted once");
     assert!(after.1 - before.1 >= refused, "{refused} jobs were refused or failed, {} missed", after.1 - before.1);
 }
+
+/// Guards against a burn report that covers one entry only, or that leaves out an entry without a word.
+#[async_std::test]
+async fn burn_report_covers_all_entries_or_names_the_missing_ones() {
+    let mut cluster = Cluster::start("ledger-burn-all", 3, 3).await;
+    cluster.configure(50).await;
+    let mut met = Vec::new();
+    for number in 0..3 {
+        let burn: Value =
+            cluster.operate(number, Method::Get, "/v1/reports/burn", &json!({})).await.json().expect("JSON");
+        assert_eq!(burn["entries"], json!(["e1", "e2", "e3"]), "{burn}");
+        assert_eq!(burn["missing"], json!([]), "{burn}");
+        met.push(burn["classes"][0]["windows"][0]["counts"]["met"].as_u64().expect("a number"));
+    }
+    // Each entry served one job when the installation started.
+    assert_eq!(met, [3, 3, 3]);
+    cluster.entries[2].kill();
+    let burn: Value = cluster.operate(0, Method::Get, "/v1/reports/burn", &json!({})).await.json().expect("JSON");
+    assert_eq!(burn["entries"], json!(["e1", "e2"]), "{burn}");
+    assert_eq!(burn["missing"], json!(["e3"]), "{burn}");
+}
