Explain why a job or a VM is late

An operator had to read the logs of all entries to learn why a job waits or why a VM stays out of a wave.

GET /v1/explain/jobs/{id} is answered by the entry that holds the job, found by the peer call explain.job, and GET /v1/explain/vms/{id} by the entry that is asked. The queue of the core tells a job's position in its team (ReadyQueue::find_position).

Two process-level tests. Without the call to peers jobs_are_explained_at_every_entry fails ("not within 30s: each job is explained by the same entry, whichever is asked"); its first form did not notice that and was made stricter. Without the reasons of the pool vms_are_explained_with_budget_and_wave fails (the reasons name the wave only). The reasons for missing permits, quarantine, stale entries and deadline windows have no test.

--- /dev/null
+++ b/crates/carawaybarrow/src/explain.rs
@@ -0,0 +1,215 @@
+//! Why a job or a VM is where it is, for an operator who asks because something is late.
+
+use std::sync::Arc;
+
+use carawaybarrow_core::commit::Document;
+use carawaybarrow_core::fleet::{Vm, VmState};
+use carawaybarrow_core::health::Verdict;
+use carawaybarrow_core::ids::{JobId, PoolId, VmId};
+use carawaybarrow_core::job::JobSpec;
+use carawaybarrow_core::journal::{JobShard, Record, State};
+use carawaybarrow_core::wave::Phase;
+use futures::future;
+use serde_json::{Value, json};
+use tide::{Response, StatusCode};
+
+use crate::admin;
+use crate::entry::Entry;
+use crate::front::{self, HttpRequest};
+use crate::shards;
+
+/// Adds the routes of the explanations.
+pub fn add_routes(app: &mut tide::Server<Arc<Entry>>) {
+    app.at("/v1/explain/jobs/:id").get(explain_job);
+    app.at("/v1/explain/vms/:id").get(explain_vm);
+}
+
+fn refuse_unknown(place: &str) -> Response {
+    let message = format!("there is no such {place}");
+    front::respond(StatusCode::NotFound, &json!({ "errors": [{ "place": place, "message": message }] }))
+}
+
+async fn explain_job(req: HttpRequest) -> tide::Result {
+    let Some(_) = admin::find_operator(&req) else { return Ok(admin::refuse_operator()) };
+    let Ok(job) = req.param("id").unwrap_or_default().parse::<JobId>() else { return Ok(refuse_unknown("job")) };
+    Ok(match req.state().find_explanation(&job).await {
+        Ok(Some(found)) => front::respond(StatusCode::Ok, &found),
+        Ok(None) => refuse_unknown("job"),
+        Err(asked) => front::respond(StatusCode::ServiceUnavailable, &asked),
+    })
+}
+
+async fn explain_vm(req: HttpRequest) -> tide::Result {
+    let Some(_) = admin::find_operator(&req) else { return Ok(admin::refuse_operator()) };
+    let Ok(vm) = req.param("id").unwrap_or_default().parse::<VmId>() else { return Ok(refuse_unknown("vm")) };
+    Ok(match req.state().describe_vm(&vm) {
+        Some(found) => front::respond(StatusCode::Ok, &found),
+        None => refuse_unknown("vm"),
+    })
+}
+
+impl Entry {
+    /// What this entry knows of a job that it holds: an urgent one, or a durable one of a shard that it owns.
+    #[must_use]
+    pub fn explain_held_job(&self, job: &JobId) -> Option<Value> {
+        let urgent = self.dispatch().urgent.get(job).map(|urgent| (urgent.spec.clone(), urgent.tried.clone()));
+        if let Some((spec, tried)) = urgent {
+            let mut found = self.describe_spec(&spec, "urgent");
+            found["tried"] = json!(tried);
+            found["reasons"] = json!(self.list_reasons(&spec));
+            return Some(found);
+        }
+        self.shards.read(self.shards.of_job(job), |document| document.record(job).cloned()).flatten().map(|record| {
+            let mut found = self.describe_record(&record);
+            if record.state == State::Waiting {
+                found["reasons"] = json!(self.list_reasons(&record.spec));
+            }
+            found
+        })
+    }
+
+    /// Asks this entry, then all members, then the store. Fails with the members that did not answer.
+    async fn find_explanation(&self, job: &JobId) -> Result<Option<Value>, Value> {
+        if let Some(found) = self.explain_held_job(job) {
+            return Ok(Some(found));
+        }
+        let members = self.holder.members();
+        let others: Vec<_> = members.members.current.keys().filter(|id| **id != self.settings.entry).collect();
+        let answers = future::join_all(others.iter().map(|id| self.explain_at_peer(id, job))).await;
+        let missing: Vec<_> = others.iter().zip(&answers).filter(|(_, a)| a.is_err()).map(|(id, _)| *id).collect();
+        if let Some(found) = answers.iter().flatten().flatten().next() {
+            return Ok(Some(found.clone()));
+        }
+        let failure =
+            json!({ "missing": missing, "errors": [{ "place": "store", "message": "the journal can't be read now" }] });
+        let stored = self.store.get(&shards::shard_key(self.shards.of_job(job))).await;
+        let Ok(stored) = stored else { return Err(failure) };
+        let Some(stored) = stored else { return Ok(None) };
+        let Ok(document) = JobShard::decode(&stored.bytes) else { return Err(failure) };
+        Ok(match document.record(job) {
+            Some(record) => {
+                let mut found = self.describe_record(record);
+                found["reasons"] = json!(["the owner of the job's shard did not answer; nobody may own it now"]);
+                found["missing"] = json!(missing);
+                Some(found)
+            }
+            None => document
+                .get(job)
+                .map(|view| json!({ "job": job, "state": view.state, "archived": true, "missing": missing })),
+        })
+    }
+
+    fn describe_spec(&self, spec: &JobSpec, kind: &str) -> Value {
+        let position = self.dispatch().queues.get(&spec.pool).and_then(|queue| queue.find_position(&spec.id));
+        json!({
+            "job": spec.id, "kind": kind, "entry": self.settings.entry, "team": spec.team, "queue": spec.queue,
+            "class": spec.class, "pool": spec.pool, "accepted_at": spec.accepted_at, "deadline": spec.deadline,
+            "ahead_in_team": position.map(|p| p.ahead), "waiting_in_team": position.map(|p| p.waiting),
+        })
+    }
+
+    fn describe_record(&self, record: &Record) -> Value {
+        let mut found = self.describe_spec(&record.spec, "durable");
+        found["state"] = json!(record.state.name());
+        found["failures"] = json!(record.failures);
+        found["last_failure"] = json!(record.last_failure);
+        match &record.state {
+            State::Waiting => {}
+            State::Claimed { claim, cancel_requested } => {
+                found["claim"] = json!(claim);
+                found["cancel_requested"] = json!(cancel_requested);
+            }
+            State::Ended { at, claim, .. } => {
+                found["ended_at"] = json!(at);
+                found["claim"] = json!(claim);
+            }
+        }
+        found
+    }
+
+    /// Why a waiting job of this entry does not start.
+    fn list_reasons(&self, spec: &JobSpec) -> Vec<String> {
+        let now = self.clock.now();
+        let mut reasons = Vec::new();
+        if spec.team.is_some() && !self.is_fresh() {
+            reasons.push("this entry can't confirm that keys and limits are current".to_owned());
+        }
+        if !self.is_store_reachable() {
+            reasons.push("the store can't be reached, so no durable job is claimed".to_owned());
+        }
+        let dispatch = self.dispatch();
+        if let Some(team) = spec.team.as_ref().filter(|team| !dispatch.permits.may_start(team)) {
+            reasons.push(format!("team {team} has no free permit at this entry"));
+        }
+        let slots = dispatch.slots(&spec.pool, now);
+        match (slots.total, slots.free) {
+            (0, _) => reasons.push(format!("no worker of pool {} takes work", spec.pool)),
+            (total, 0) => reasons.push(format!("pool {} is full: all {total} slots are in use", spec.pool)),
+            _ => {}
+        }
+        let quarantined =
+            dispatch.health.get(&spec.pool).map_or(0, carawaybarrow_core::health::PoolHealth::quarantined);
+        if quarantined > 0 {
+            reasons.push(format!("{quarantined} VMs of pool {} are quarantined", spec.pool));
+        }
+        if spec.deadline.is_some_and(|deadline| deadline < self.clock.wall()) {
+            reasons.push("the deadline has passed".to_owned());
+        }
+        reasons
+    }
+
+    fn describe_vm(&self, id: &VmId) -> Option<Value> {
+        let fleet = self.fleet.document();
+        let vm = fleet.vm(id)?;
+        let availability = fleet.availability(&vm.pool);
+        let (routing, verdict) = {
+            let dispatch = self.dispatch();
+            let health = dispatch.health.get(&vm.pool);
+            (dispatch.endpoints.state(id), health.map(|health| health.check(id, self.clock.now())))
+        };
+        let mut reasons = list_vm_reasons(vm);
+        if verdict.is_some_and(|verdict| verdict != Verdict::Open) {
+            reasons.push(format!("entry {} has quarantined the VM", self.settings.entry));
+        }
+        reasons.extend(self.list_pool_reasons(&vm.pool, availability.available, availability.size));
+        if let Some(wave) = fleet.wave().filter(|wave| !matches!(wave.phase, Phase::Running | Phase::Finished { .. })) {
+            reasons.push(format!("wave {} grants no drains: {}", wave.id, wave.phase));
+        }
+        Some(json!({
+            "vm": id, "entry": self.settings.entry, "record": vm, "routing": routing.map(|s| format!("{s:?}").to_lowercase()),
+            "pool": { "size": availability.size, "available": availability.available },
+            "wave": fleet.wave().map(|wave| json!({ "id": wave.id, "phase": wave.phase })), "reasons": reasons,
+        }))
+    }
+
+    fn list_pool_reasons(&self, pool: &PoolId, available: u32, size: u32) -> Vec<String> {
+        let held = self.holder.config();
+        let Some(pool_config) = held.config.pools.get(pool) else {
+            return vec![format!("pool {pool} is not configured")];
+        };
+        let mut reasons = Vec::new();
+        let least = pool_config.value.min_available;
+        // A further drain would leave one VM less.
+        if u64::from(available.saturating_sub(1)) * 100 < u64::from(size) * u64::from(least.get()) {
+            reasons.push(format!("pool {pool} is outside its budget for a drain: {available} of {size} VMs are available, {least} must be"));
+        }
+        let wall = self.clock.wall();
+        if pool_config.value.deadline_windows.iter().any(|w| w.from <= wall && wall < w.to) {
+            reasons.push(format!("pool {pool} is in a deadline window, in which nothing moves"));
+        }
+        reasons
+    }
+}
+
+fn list_vm_reasons(vm: &Vm) -> Vec<String> {
+    let mut reasons = Vec::new();
+    let cause = vm.permit.as_ref().map_or_else(String::new, |permit| format!(" ({:?})", permit.cause));
+    match vm.state {
+        VmState::Serving => {}
+        VmState::Draining => reasons.push(format!("the VM is draining{cause}")),
+        VmState::Drained => reasons.push(format!("the VM is drained{cause}")),
+        VmState::Rebooting => reasons.push(format!("the VM reboots{cause}")),
+        VmState::Failed => reasons.push("the VM can't be reached or doesn't work".to_owned()),
+    }
+    reasons
+}
--- a/crates/carawaybarrow/src/lib.rs
+++ b/crates/carawaybarrow/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod dispatch;
 pub mod durable;
 pub mod entry;
+pub mod explain;
 pub mod fleet_sync;
 pub mod front;
 pub mod http_client;
--- a/crates/carawaybarrow/src/peer.rs
+++ b/crates/carawaybarrow/src/peer.rs
@@ -18,6 +18,7 @@
 use jsonrpsee::types::ErrorObjectOwned;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use snafu::{ResultExt, Snafu};
 
 use crate::config_sync::{ConfigUpdate, MembersUpdate};
@@ -262,6 +263,17 @@
         self.peers.call(address, "burn.get", ArrayParams::new(), HEARTBEAT_TIMEOUT).await
     }
 
+    /// Asks an entry what it knows of a job.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the entry can't be reached.
+    pub async fn explain_at_peer(&self, peer: &EntryId, job: &JobId) -> Result<Option<Value>, PeerError> {
+        let address = self.peer_of(peer).ok_or(PeerError::NotTaken)?;
+        self.metrics.count_peer_call("explain");
+        self.peers.call(address, "explain.job", params(job), HEARTBEAT_TIMEOUT).await
+    }
+
     fn peer_of(&self, entry: &EntryId) -> Option<SocketAddr> {
         self.holder.members().members.current.get(entry).map(|m| m.process.peer_address)
     }
@@ -281,6 +293,10 @@
         Ok::<MembersUpdate, ErrorObjectOwned>(MembersUpdate::clone(&entry.holder.members()))
     })?;
     module.register_method("burn.get", |_, entry, _| Ok::<Burn, ErrorObjectOwned>(entry.dispatch().burn.clone()))?;
+    module.register_method("explain.job", |params, entry, _| {
+        let job = params.one::<JobId>()?;
+        Ok::<Option<Value>, ErrorObjectOwned>(entry.explain_held_job(&job))
+    })?;
     module.register_async_method("journal.submit", |params, entry, _| async move {
         let (shard, commands) = params.parse::<(ShardId, Vec<JobCommand>)>()?;
         entry.submit_as_owner(shard, commands).await.map_err(into_error)
--- a/crates/carawaybarrow/src/serve.rs
+++ b/crates/carawaybarrow/src/serve.rs
@@ -19,7 +19,7 @@
 use crate::store::HttpStore;
 use crate::vm_list::HttpVmList;
 use crate::worker::HttpWorkers;
-use crate::{admin, front, reports};
+use crate::{admin, explain, front, reports};
 
 /// Time for the last calls to the store at a stop. During an outage of the store they are given up: the lease of
 /// the roles lapses, and peers remove the member.
@@ -72,6 +72,7 @@
     front::add_routes(&mut app);
     admin::add_routes(&mut app);
     reports::add_routes(&mut app);
+    explain::add_routes(&mut app);
     let http = http_server::listen(callers, app, Limits { body_bytes: settings.body_bytes }).await?;
     let peers = peer::serve(peer_server, Arc::clone(&entry));
     let addresses = Addresses { callers: http.address(), peers: peer_address };
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -79,6 +79,15 @@
     smoothed_run: u64,
 }
 
+/// Position of a waiting job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Position {
+    /// Jobs of its team and kind that start before it.
+    pub ahead: usize,
+    /// Waiting jobs of its team and kind, itself included.
+    pub waiting: usize,
+}
+
 /// Number of waiting jobs of a kind, and their run times together in milliseconds.
 #[derive(Clone, Copy, Debug, Default)]
 struct Load {
@@ -139,6 +148,16 @@
         teams.into_iter().zip(entitlements).map(|((team, running), part)| (team, running, part)).collect()
     }
 
+    /// Position of a waiting job among those of its team and kind; `None` if it doesn't wait here.
+    #[must_use]
+    pub fn find_position(&self, job: &JobId) -> Option<Position> {
+        let number = self.numbers.get(job)?;
+        let waiting = self.jobs.get(number)?;
+        let queue = self.teams.get(&waiting.team)?.waiting(waiting.kind);
+        let ahead = queue.iter().position(|(_, other)| other == number)?;
+        Some(Position { ahead, waiting: queue.len() })
+    }
+
     /// Whether another job of the team would stay within the bounds.
     #[must_use]
     pub fn room(&self, team: Option<&TeamId>, kind: Kind) -> Room {
