Add the commands for reports and explanations

Reports and explanations had no command.

cli_reports gives the arguments of `report month YYYY-MM [--csv]` and `explain job|vm ID`, the path that each fetches and the text that it prints. The general command line has to call commands, find_path and show; nothing calls them yet.

--- a/crates/carawaybarrow/src/lib.rs
+++ b/crates/carawaybarrow/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod cli;
+pub mod cli_reports;
 pub mod clock;
 pub mod config_sync;
 pub mod dispatch;
