Serve callers that are connected when an entry stops

Cause: a stopping entry closed each connection without a request in progress, also one whose first request had not arrived yet, and left connections in the listener's backlog to be reset. The caller saw a broken pipe on a connection that it had got.

Change: a new connection has 500 ms for its first request, and the backlog is taken before the listener closes. A connection taken from the backlog at the very moment at which no other one is open may still be missed.

--- a/crates/carawaybarrow/src/http_server.rs
+++ b/crates/carawaybarrow/src/http_server.rs
@@ -4,7 +4,7 @@
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_h1::server;
 use async_std::channel;
@@ -20,6 +20,10 @@
 /// Interval at which a stopping server looks whether its connections have ended.
 const STOP_POLL: Duration = Duration::from_millis(10);
 
+/// Time for the first request of a new connection to arrive before a stopping server closes it. The caller has the
+/// connection already, so its request must be answered.
+const FIRST_REQUEST_LIMIT: Duration = Duration::from_millis(500);
+
 /// Bounds of what a server takes in.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -39,6 +43,16 @@
 struct Connection {
     stream: TcpStream,
     busy: Arc<AtomicBool>,
+    opened: Instant,
+    /// Whether a request has come.
+    used: Arc<AtomicBool>,
+}
+
+impl Connection {
+    fn is_idle(&self) -> bool {
+        let awaits_first = !self.used.load(Ordering::SeqCst) && self.opened.elapsed() < FIRST_REQUEST_LIMIT;
+        !self.busy.load(Ordering::SeqCst) && !awaits_first
+    }
 }
 
 /// Connections and requests in progress.
@@ -55,12 +69,13 @@
         self.stopping.load(Ordering::SeqCst)
     }
 
-    fn add(&self, stream: TcpStream) -> (u64, Arc<AtomicBool>) {
+    fn add(&self, stream: TcpStream) -> (u64, Arc<AtomicBool>, Arc<AtomicBool>) {
         let id = self.next.fetch_add(1, Ordering::Relaxed);
-        let busy = Arc::new(AtomicBool::new(false));
-        let connection = Connection { stream, busy: Arc::clone(&busy) };
+        let (busy, used) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+        let connection =
+            Connection { stream, busy: Arc::clone(&busy), opened: Instant::now(), used: Arc::clone(&used) };
         self.connections.lock().expect("no holder panics").insert(id, connection);
-        (id, busy)
+        (id, busy, used)
     }
 
     fn remove(&self, id: u64) {
@@ -70,7 +85,7 @@
     /// Ends the reading side of idle connections; a request that was already received is still served.
     fn close_idle(&self) {
         for connection in self.connections.lock().expect("no holder panics").values() {
-            if !connection.busy.load(Ordering::SeqCst) {
+            if connection.is_idle() {
                 // An error means that the peer has closed the connection.
                 drop(connection.stream.shutdown(Shutdown::Read));
             }
@@ -156,7 +171,11 @@
         // The channel carries no message; it ends when the server stops.
         let accepted = match future::select(pin!(listener.accept()), pin!(closed.recv())).await {
             Either::Left((accepted, _)) => accepted,
-            Either::Right(_) => return,
+            // Callers in the backlog have a connection already, so they are served too.
+            Either::Right(_) => match listener.accept().now_or_never() {
+                Some(accepted) => accepted,
+                None => return,
+            },
         };
         let Ok((stream, _)) = accepted else {
             // Accept fails for lack of file descriptors among others; the pause lets connections end.
@@ -174,9 +193,10 @@
 where
     S: Clone + Send + Sync + 'static,
 {
-    let (id, busy) = tracker.add(stream.clone());
+    let (id, busy, used) = tracker.add(stream.clone());
     let endpoint = |req: Request| {
         busy.store(true, Ordering::SeqCst);
+        used.store(true, Ordering::SeqCst);
         tracker.requests.fetch_add(1, Ordering::SeqCst);
         let tracker = &tracker;
         respond(&app, req, limits).map(move |mut res| {
