Give permits back at a planned stop, and wire the report commands

Cause: an entry that stopped left its permits to the reclaim of its peers, which waits 10 s, so entries that replaced it got none meanwhile: in a rolling replacement of three entries the third waited 11 s for its first permit. Ruled out: an entry that hangs after SIGTERM.

--- a/crates/carawaybarrow/src/command_report.rs
+++ b/crates/carawaybarrow/src/command_report.rs
@@ -1,31 +1,57 @@
-//! Command `report`.
+//! Commands `report` and `explain`.
 
 use carawaybarrow_core::burn::ClassBurn;
 use clap::{ArgMatches, Command};
+use serde::Deserialize;
+use serde_json::Value;
 
 use crate::cli::{self, Output, Run};
+use crate::cli_reports;
 use crate::failure::Failure;
 use crate::operator_client::{self, OperatorClient};
 use crate::table::render_table;
 
+/// Burn counts of all entries that could be asked.
+#[derive(Deserialize)]
+struct BurnReport {
+    missing: Vec<String>,
+    classes: Vec<ClassBurn>,
+}
+
 /// Commands of this module.
 #[must_use]
 pub fn build() -> Vec<(Command, Run)> {
-    let burn = Command::new("burn").about("Show how fast each class spends its error budget, as one entry sees it");
-    let report = Command::new("report").about("Show reports").subcommand_required(true).subcommand(burn);
-    vec![(report, run)]
+    let burn = Command::new("burn").about("Show how fast each class spends its error budget");
+    let commands = cli_reports::commands().into_iter().map(|command| match command.get_name() {
+        "report" => (command.subcommand(burn.clone()), run_report as Run),
+        _ => (command, run_explain as Run),
+    });
+    commands.collect()
 }
 
-fn run(args: &ArgMatches, output: &Output) -> Result<(), Failure> {
+fn run_report(args: &ArgMatches, output: &Output) -> Result<(), Failure> {
     match cli::subcommand(args) {
         ("burn", args) => report_burn(args, output),
-        (name, _) => Err(Failure::invalid("report", format!("there is no report {name}"))),
+        (_, sub) => fetch(sub, "report", cli_reports::find_path("report", args), output),
     }
 }
 
+fn run_explain(args: &ArgMatches, output: &Output) -> Result<(), Failure> {
+    let (_, sub) = cli::subcommand(args);
+    fetch(sub, "explain", cli_reports::find_path("explain", args), output)
+}
+
+fn fetch(args: &ArgMatches, name: &str, path: Option<String>, output: &Output) -> Result<(), Failure> {
+    let path = path.ok_or_else(|| Failure::invalid(name, "there is no such report"))?;
+    let bytes = OperatorClient::from_args(args)?.read_bytes(&path)?;
+    let text = cli_reports::show(name, &bytes).map_err(|e| Failure::Failed(e.to_string()))?;
+    let value = serde_json::from_slice(&bytes).unwrap_or_else(|_text| Value::String(text.clone()));
+    output.print(&value, || text)
+}
+
 fn report_burn(args: &ArgMatches, output: &Output) -> Result<(), Failure> {
     let answer = OperatorClient::from_args(args)?.read("/v1/reports/burn")?;
-    let classes: Vec<ClassBurn> = operator_client::read_as(answer.clone())?;
+    let BurnReport { missing, classes } = operator_client::read_as(answer.clone())?;
     output.print(&answer, || {
         let mut rows = Vec::new();
         for class in &classes {
@@ -37,6 +63,10 @@
                 rows.push(vec![class, window.window_ms.to_string(), total.to_string(), missed.to_string(), met, rate]);
             }
         }
-        render_table(&["CLASS", "WINDOW", "JOBS", "MISSED", "MET", "BURN RATE"], &rows)
+        let mut text = render_table(&["CLASS", "WINDOW", "JOBS", "MISSED", "MET", "BURN RATE"], &rows);
+        if !missing.is_empty() {
+            text.push_str(&format!("without the counts of {}\n", missing.join(", ")));
+        }
+        text
     })
 }
--- a/crates/carawaybarrow/src/operator_client.rs
+++ b/crates/carawaybarrow/src/operator_client.rs
@@ -99,6 +99,27 @@
         Err(Failure::NotReachable(reasons))
     }
 
+    /// Reads a body that isn't JSON from the first entry that answers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no entry answers, or if the entry refuses.
+    pub fn read_bytes(&self, path: &str) -> Result<Vec<u8>, Failure> {
+        let mut reasons = Vec::new();
+        for entry in &self.entries {
+            match self.call(*entry, Method::Get, path, None, READ_LIMIT) {
+                Ok(reply) if reply.status == 200 => return Ok(reply.body),
+                Ok(reply) => match judge_reply(&reply) {
+                    Err(Failure::NotReachable(why)) => reasons.extend(why),
+                    Err(failure) => return Err(failure),
+                    Ok(_) => return Err(Failure::Failed(format!("the entry answered with status {}", reply.status))),
+                },
+                Err(e) => reasons.push(e.to_string()),
+            }
+        }
+        Err(Failure::NotReachable(reasons))
+    }
+
     /// Reads from every entry.
     #[must_use]
     pub fn read_each(&self, path: &str) -> Vec<(SocketAddr, Result<Value, Failure>)> {
--- a/crates/carawaybarrow/src/quota_sync.rs
+++ b/crates/carawaybarrow/src/quota_sync.rs
@@ -112,6 +112,18 @@
         self.remove_silent().await;
     }
 
+    /// Gives all permits back at a planned stop, except those of tasks that still run. This entry starts nothing after
+    /// that, so its peers need not wait for the reclaim delay.
+    pub async fn give_up_permits(&self) {
+        let in_use = |(team, count): (&TeamId, u32)| (count > 0).then(|| (team.clone(), count));
+        let keep = self.dispatch().permits.in_use().filter_map(in_use).collect();
+        let (entry, incarnation) = (self.settings.entry.clone(), self.incarnation);
+        let command = QuotaCommand::Reclaim { entry, incarnation, keep };
+        let commit = Commit::<Quota>::new(self.new_change_id(), vec![command]);
+        // If it fails, the peers reclaim the permits after the delay.
+        drop(store::run_commit(&*self.store, QUOTA_KEY, commit).await);
+    }
+
     /// Notes departed processes whose address refuses connections: the process has ended.
     async fn look_for_ended_processes(&self) {
         let departed = self.holder.members().members.departed.clone();
--- a/crates/carawaybarrow/src/serve.rs
+++ b/crates/carawaybarrow/src/serve.rs
@@ -102,6 +102,7 @@
     let leave = MembersCommand::Leave { entry: entry.settings.entry.clone(), incarnation: entry.incarnation };
     let farewell = async {
         entry.give_up_shards().await;
+        entry.give_up_permits().await;
         entry.change_members(leave).await
     };
     if !matches!(future::timeout(FAREWELL_LIMIT, farewell).await, Ok(Ok(_))) {
