Do less in the upkeep of an idle entry

Every 20 ms it looked at the permits of each team, and every 25 ms it counted the slots of each pool and visited each endpoint. Change: permits are looked at every 250 ms unless a start lacks one; an empty queue ends the look at a pool at once; unused leases and trials are looked at every 125 ms.

--- a/crates/carawaybarrow/src/dispatch.rs
+++ b/crates/carawaybarrow/src/dispatch.rs
@@ -101,6 +101,8 @@
     pub watched: Map<TaskId, RunningTask>,
     /// Slot leases that this entry holds.
     pub leases: Map<SlotKey, HeldLease>,
+    /// Whether a start lacked a permit since the last look at the permits.
+    pub lacks_permits: bool,
     /// When a worker of the pool last had no free slot.
     pub full_at: Map<PoolId, MonoTime>,
     shares: Shares,
@@ -140,6 +142,7 @@
             durable: Map::default(),
             watched: Map::default(),
             leases: Map::default(),
+            lacks_permits: false,
             full_at: Map::default(),
             shares: Shares::new([]),
             teams: Vec::new(),
@@ -204,6 +207,10 @@
 
     /// Takes the next job of a pool that can start.
     pub fn next_start(&mut self, pool: &PoolId, now: MonoTime) -> Option<Start> {
+        // Most looks find nothing to start, and counting the slots visits each endpoint of the pool.
+        if self.queues.get(pool).is_none_or(ReadyQueue::is_empty) {
+            return None;
+        }
         let slots = self.slots(pool, now);
         let permits = &self.permits;
         let queue = self.queues.get_mut(pool)?;
@@ -244,6 +251,7 @@
             {
                 let none = self.permits.try_start(&team, now);
                 debug_assert!(none.is_none(), "a team without permits got one");
+                self.lacks_permits = true;
             }
         }
     }
--- a/crates/carawaybarrow/src/quota_sync.rs
+++ b/crates/carawaybarrow/src/quota_sync.rs
@@ -22,6 +22,9 @@
 /// Interval at which missing permits are noticed; a part of the time in which urgent work has to start.
 const TICK: Duration = Duration::from_millis(20);
 
+/// Interval at which all teams are looked at while no start lacks a permit. A look visits each team.
+const LOOK_INTERVAL: Millis = Millis(250);
+
 /// Interval at which the document is read, to see the wants of others and lowered limits.
 const READ_INTERVAL: Millis = Millis(1_000);
 
@@ -50,11 +53,16 @@
 
     /// Asks for permits, gives idle ones back, and reclaims those of departed entries.
     pub async fn keep_permits(self: Arc<Self>) {
-        let mut read_at = MonoTime(0);
+        let (mut read_at, mut looked_at) = (MonoTime(0), MonoTime(0));
         let mut reclaimed_at = self.clock.now();
         loop {
             task::sleep(TICK).await;
             let now = self.clock.now();
+            let lacks_permits = std::mem::take(&mut self.dispatch().lacks_permits);
+            if !lacks_permits && now.since(looked_at) < LOOK_INTERVAL {
+                continue;
+            }
+            looked_at = now;
             let commands = self.dispatch().permits.wanted(now);
             if !commands.is_empty() {
                 self.commit_permits(commands).await;
--- a/crates/carawaybarrow/src/slots.rs
+++ b/crates/carawaybarrow/src/slots.rs
@@ -19,6 +19,9 @@
 /// Interval of the upkeep of leases and queues.
 const TICK: Duration = Duration::from_millis(25);
 
+/// Interval at which unused leases are given back and trials are opened; both visit each endpoint.
+const CLEAN_INTERVAL: Millis = Millis(125);
+
 /// Age at which a lease in use is renewed; a third of the shortest lifetime, so that one lost renewal does no harm.
 const RENEW_AFTER: Millis = Millis(1_000);
 
@@ -108,15 +111,19 @@
     /// Upkeep of leases and queues at short intervals.
     pub async fn keep_slots(self: Arc<Self>) {
         let mut renewed_at = self.clock.now();
+        let mut cleaned_at = renewed_at;
         loop {
             task::sleep(TICK).await;
             let now = self.clock.now();
             self.refuse_late(now);
-            self.release_idle(now);
             self.seek_slots(now);
-            self.dispatch().open_trials(now);
             self.dispatch_all();
             self.preempt_patient(now);
+            if now.since(cleaned_at) >= CLEAN_INTERVAL {
+                cleaned_at = now;
+                self.release_idle(now);
+                self.dispatch().open_trials(now);
+            }
             if now.since(renewed_at) >= RENEW_AFTER {
                 renewed_at = now;
                 self.renew_leases(now);
