Keep the owner of an archived job

Cause: the tombstone of an archived job had no team, so GET and DELETE /v1/jobs/{id} took an archived job for one of a queue open to all, and any caller saw its state and its stored answer.

Change: the tombstone keeps the owner (a team, or nobody on a queue open to all), and its bytes count towards the shard's bound. Earlier documents decode with an unknown owner; such jobs are shown to operators only. A mixed installation was not run.

Conclusion: the archived job of a team is shown to that team and to operators, at every entry. An unknown owner was tested in core only, not over HTTP.

--- a/crates/carawaybarrow/src/front.rs
+++ b/crates/carawaybarrow/src/front.rs
@@ -377,13 +377,14 @@
         ));
     };
     let Some(status) = found else { return Err(not_found()) };
-    if let Some(team) = &status.team {
-        let held = entry.holder.config();
-        let is_owner = read_key(req).is_some_and(|key| held.find_team(&key) == Some(team));
-        // Another team learns nothing, not even that the job exists.
-        if !is_owner && admin::find_operator(req).is_none() {
-            return Err(not_found());
-        }
+    let held = entry.holder.config();
+    let may_see = match &status.team {
+        Some(team) => read_key(req).is_some_and(|key| held.find_team(&key) == Some(team)),
+        None => status.is_owner_known,
+    };
+    // Another team learns nothing, not even that the job exists.
+    if !may_see && admin::find_operator(req).is_none() {
+        return Err(not_found());
     }
     Ok((job, status.view))
 }
--- a/crates/carawaybarrow/src/shards.rs
+++ b/crates/carawaybarrow/src/shards.rs
@@ -9,7 +9,7 @@
 use carawaybarrow_core::commit::{Commit, Document, NotWritten};
 use carawaybarrow_core::ids::{JobId, LeaseId, ShardId, StoreVersion, TeamId};
 use carawaybarrow_core::job;
-use carawaybarrow_core::journal::{JobCommand, JobOutcome, JobShard, JobView};
+use carawaybarrow_core::journal::{JobCommand, JobOutcome, JobShard, JobView, Owner};
 use carawaybarrow_core::units::{Millis, MonoTime};
 use futures::channel::oneshot;
 use serde::{Deserialize, Serialize};
@@ -182,18 +182,26 @@
     }
 }
 
-/// A job in the journal and the team that it belongs to.
+/// A job in the journal and whom it belongs to.
+///
+/// The answer of a peer without `is_owner_known` can't be decoded, so the caller reads the store instead.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobStatus {
-    /// Team; absent on queues open to all, and for jobs that were archived.
+    /// Team; absent on queues open to all, and if the owner isn't known.
     pub team: Option<TeamId>,
+    /// Whether the owner is known. Otherwise only operators may see the job.
+    pub is_owner_known: bool,
     /// What its caller is told.
     pub view: JobView,
 }
 
 fn find_status(document: &JobShard, job: &JobId) -> Option<JobStatus> {
-    let team = document.record(job).and_then(|record| record.spec.team.clone());
-    document.get(job).map(|view| JobStatus { team, view })
+    let (team, is_owner_known) = match document.owner(job)? {
+        Owner::Unknown => (None, false),
+        Owner::Open => (None, true),
+        Owner::Team(team) => (Some(team), true),
+    };
+    document.get(job).map(|view| JobStatus { team, is_owner_known, view })
 }
 
 /// Store key of a shard.
--- a/crates/carawaybarrow/tests/ledger.rs
+++ b/crates/carawaybarrow/tests/ledger.rs
@@ -115,6 +115,33 @@
     expect_lines(&cluster, 1, &marks).await;
 }
 
+/// Guards against a job that another team can read once it is archived.
+#[async_std::test]
+async fn archived_jobs_of_another_team_are_not_shown() {
+    const CLUB_SECRET: &str = "club-secret-0123456";
+    let cluster = start("ledger-team", 2).await;
+    cluster.change(json!({ "change": "set_team", "id": "club", "value": { "share": 10, "limit": 5 } })).await;
+    cluster.give_key("club-1", "club", CLUB_SECRET).await;
+    accept(&cluster, 0, "kept").await;
+    let id = id_of("kept");
+    poll_until("the job is archived", || async {
+        let path = format!("/v1/explain/jobs/{id}");
+        let reply = cluster.operate(0, Method::Get, &path, &json!({})).await;
+        reply.json::<Value>().is_ok_and(|found| found["archived"] == true).then_some(())
+    })
+    .await;
+    let path = format!("/v1/jobs/{id}");
+    for number in 0..2 {
+        assert_eq!(cluster.call(number, Method::Get, &path, CLINIC_SECRET, "").await.status, 200);
+        for method in [Method::Get, Method::Delete] {
+            let reply = cluster.call(number, method, &path, CLUB_SECRET, "").await;
+            assert_eq!(reply.status, 404, "{method} at entry {number}: {}", reply.text());
+        }
+        let reply = cluster.operate(number, Method::Get, &path, &json!({})).await;
+        assert_eq!(reply.status, 200, "{}", reply.text());
+    }
+}
+
 /// Guards against jobs that are archived although their lines were not stored.
 #[async_std::test]
 async fn no_line_is_lost_while_the_ledger_or_the_store_is_down() {
--- a/crates/core/src/journal.rs
+++ b/crates/core/src/journal.rs
@@ -15,7 +15,7 @@
 use crate::units::{Millis, WallTime};
 
 pub use crate::journal_command::{Bound, JobCommand, JobOutcome, JobView, Rejection, RequeueReason, Resolution};
-pub use crate::journal_record::{MAX_FAILED_VMS, MAX_FAILURES, MAX_LOST_WORKERS, Record};
+pub use crate::journal_record::{MAX_FAILED_VMS, MAX_FAILURES, MAX_LOST_WORKERS, Owner, Record};
 pub use crate::journal_state::{
     Claim, End, MAX_REASON_BYTES, Resolved, State, StateName, count_json_bytes, cut_reason, fits_inline,
 };
@@ -39,7 +39,7 @@
 /// They are set aside at acceptance, because an accepted job must always be able to end.
 pub const GROWTH_BYTES: usize = 1_600;
 
-/// Bytes of a tombstone in addition to the job's id.
+/// Bytes of a tombstone in addition to the job's id and its owner.
 pub const TOMBSTONE_BYTES: usize = 80;
 
 /// Number of jobs by state.
@@ -60,6 +60,12 @@
         self.jobs.get(job).map(Record::view).or_else(|| self.tombstones.get(job).map(Tombstone::view))
     }
 
+    /// Whom a job belongs to; `None` if the shard doesn't know the job.
+    #[must_use]
+    pub fn owner(&self, job: &JobId) -> Option<Owner> {
+        self.jobs.get(job).map(Record::owner).or_else(|| self.tombstones.get(job).map(|t| t.owner.clone()))
+    }
+
     /// Record of a job that isn't archived.
     #[must_use]
     pub fn record(&self, job: &JobId) -> Option<&Record> {
@@ -127,7 +133,8 @@
     #[must_use]
     pub fn reserved_bytes(&self) -> usize {
         let records: usize = self.jobs.values().map(|r| r.reserved).sum();
-        let tombstones: usize = self.tombstones.keys().map(|id| TOMBSTONE_BYTES + id.as_str().len()).sum();
+        let count_bytes = |(id, t): (&JobId, &Tombstone)| TOMBSTONE_BYTES + id.as_str().len() + t.owner.count_bytes();
+        let tombstones: usize = self.tombstones.iter().map(count_bytes).sum();
         records + tombstones
     }
 
--- a/crates/core/src/journal_record.rs
+++ b/crates/core/src/journal_record.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::ids::{EntryId, Incarnation, TaskId, VmId};
+use crate::ids::{EntryId, Incarnation, TaskId, TeamId, VmId};
 use crate::job::{Content, JobSpec, Ran};
 use crate::journal_command::{Bound, JobOutcome, JobView, Rejection, RequeueReason, Resolution};
 use crate::journal_state::{Claim, End, Resolved, State, StateName, count_json_bytes, cut_reason, fits_inline};
@@ -41,6 +41,19 @@
     pub(crate) reserved: usize,
 }
 
+/// Whom a job belongs to.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Owner {
+    /// Not recorded: the job was archived by a version that kept no owner in tombstones.
+    #[default]
+    Unknown,
+    /// Nobody; the job's queue is open to all.
+    Open,
+    /// A team.
+    Team(TeamId),
+}
+
 /// What is left of an archived job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Tombstone {
@@ -53,6 +66,24 @@
     /// Length of an answer under its own key.
     #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
     stored: Option<u64>,
+    /// Absent in documents of versions that kept no owner.
+    #[serde(rename = "o", default, skip_serializing_if = "Owner::is_unknown")]
+    pub(crate) owner: Owner,
+}
+
+impl Owner {
+    const fn is_unknown(&self) -> bool {
+        matches!(self, Self::Unknown)
+    }
+
+    /// Bytes of the owner in a tombstone.
+    pub(crate) fn count_bytes(&self) -> usize {
+        match self {
+            Self::Unknown => 0,
+            Self::Open => ",\"o\":\"open\"".len(),
+            Self::Team(team) => ",\"o\":{\"team\":\"\"}".len() + team.as_str().len(),
+        }
+    }
 }
 
 impl Record {
@@ -62,6 +93,12 @@
         Self { spec, state, ran: Ran::No, failed_on, failures, lost_workers, last_failure: None, reserved }
     }
 
+    /// Whom the job belongs to.
+    #[must_use]
+    pub fn owner(&self) -> Owner {
+        self.spec.team.clone().map_or(Owner::Open, Owner::Team)
+    }
+
     /// What a caller is told.
     #[must_use]
     pub fn view(&self) -> JobView {
@@ -274,7 +311,7 @@
             End::Done { answer: Some(Content::Stored { bytes }) } => Some(*bytes),
             _ => None,
         };
-        Some(Tombstone { state: end.name(), ran: end.ran(), archived_at: at, stored })
+        Some(Tombstone { state: end.name(), ran: end.ran(), archived_at: at, stored, owner: self.owner() })
     }
 }
 
--- a/crates/core/tests/journal/rules.rs
+++ b/crates/core/tests/journal/rules.rs
@@ -1,11 +1,11 @@
 //! Rules of single commands, the bounds of the shard, and its queries.
 
 use carawaybarrow_core::commit::{Document, MAX_VALUE_BYTES, RECENT_CHANGES};
-use carawaybarrow_core::ids::{ChangeId, Incarnation, JobId, OperatorId, PoolId, VmId};
+use carawaybarrow_core::ids::{ChangeId, Incarnation, JobId, OperatorId, PoolId, TeamId, VmId};
 use carawaybarrow_core::job::{Content, MAX_INLINE_BYTES, Ran};
 use carawaybarrow_core::journal::{
     Bound, GROWTH_BYTES, JobCommand, JobOutcome, JobShard, MAX_FAILED_VMS, MAX_FAILURES, MAX_JOBS, MAX_LOST_WORKERS,
-    MAX_REASON_BYTES, MAX_SHARD_BYTES, Rejection, RequeueReason, Resolution, StateName, TOMBSTONE_RETENTION,
+    MAX_REASON_BYTES, MAX_SHARD_BYTES, Owner, Rejection, RequeueReason, Resolution, StateName, TOMBSTONE_RETENTION,
     count_json_bytes, cut_reason,
 };
 use carawaybarrow_core::units::WallTime;
@@ -300,6 +300,46 @@
     assert_eq!(shard.get(&job("j")), None);
 }
 
+/// Guards against an archived job that is shown to another team because its owner was dropped, and against an owner
+/// that outgrows the bytes of its tombstone.
+#[test]
+fn archived_job_keeps_its_owner() {
+    let team = |name: &str| TeamId::new(name).unwrap();
+    let table = [
+        (None, Owner::Open),
+        (Some(team("clinic")), Owner::Team(team("clinic"))),
+        (Some(team(&long_name(1))), Owner::Team(team(&long_name(1)))),
+    ];
+    for (of, owner) in table {
+        let mut shard = JobShard::default();
+        let empty = shard.encoded_size();
+        let mut long = spec("j", false);
+        long.id = JobId::new(long_name(2)).unwrap();
+        long.team = of;
+        let id = long.id.clone();
+        shard.apply(&JobCommand::Accept { spec: Box::new(long) });
+        assert_eq!(shard.owner(&id), Some(owner.clone()));
+        let accepted = shard.reserved_bytes();
+        shard.apply(&JobCommand::Cancel { job: id.clone(), at: AT });
+        let at = WallTime(u64::MAX);
+        assert_eq!(name(&shard.apply(&JobCommand::Archive { jobs: vec![id.clone()], at })), "archived:1:0");
+        let decoded = JobShard::decode(&shard.encode()).unwrap();
+        assert_eq!((&decoded, decoded.owner(&id)), (&shard, Some(owner)));
+        assert!(shard.reserved_bytes() < accepted);
+        assert!(shard.encoded_size() <= empty + shard.reserved_bytes(), "{}", shard.encoded_size());
+    }
+    assert_eq!(JobShard::default().owner(&job("j")), None);
+}
+
+/// Guards against documents of earlier versions that can't be read, and against a guessed owner for their tombstones.
+#[test]
+fn tombstone_without_an_owner_has_an_unknown_one() {
+    let old = br#"{"jobs":{},"tombstones":{"j":{"s":"done","r":"yes","t":3000,"b":70000}},"recent":[]}"#;
+    let shard = JobShard::decode(old).unwrap();
+    assert_eq!(shard.owner(&job("j")), Some(Owner::Unknown));
+    assert_eq!(shard.encode(), old);
+}
+
 /// Accepts jobs with a payload of this length until the shard is full.
 fn fill_shard(payload_bytes: usize) -> (JobShard, usize, Bound) {
     let mut shard = JobShard::default();
