--- a/crates/testbed/src/capacity/mod.rs
+++ b/crates/testbed/src/capacity/mod.rs
@@ -8,7 +8,7 @@
 mod soft_state;
 mod spread;
 mod table;
-mod usage;
+pub(crate) mod usage;
 
 pub use documents::measure_documents;
 pub use fit::{Fit, fit_line};
--- a/crates/testbed/src/cli/load.rs
+++ b/crates/testbed/src/cli/load.rs
@@ -25,6 +25,7 @@
         .arg(option::<u64>("duration-ms", "MS", "Duration, instead of the plan's"))
         .arg(option::<f64>("scale", "X", "Factor for all rates").default_value("1"))
         .arg(option::<SmolStr>("request-id-prefix", "P", "Start of request ids and marks").default_value("load"))
+        .arg(option::<PathBuf>("jobs", "FILE", "File for one JSON line for each ended job"))
         .arg(option::<usize>("max-in-flight", "N", "Jobs under way at most").default_value("4096"))
         .arg(option::<u64>("timeout-ms", "MS", "Time for one request to an entry").default_value("30000"))
         .arg(option::<u64>("wait-durable", "SECS", "Time to follow durable jobs").default_value("60"))
@@ -60,6 +61,11 @@
     let target = build_target(args, &plan);
     let prefix: SmolStr = value(args, "request-id-prefix");
     let report = load::run(&plan, &target, &prefix, value(args, "max-in-flight")).await;
+    if let Some(file) = args.get_one::<PathBuf>("jobs") {
+        let lines: Result<Vec<String>, _> = report.jobs.iter().map(serde_json::to_string).collect();
+        let text = lines.whatever_context("a job can't be encoded")?.join("\n");
+        std::fs::write(file, text).with_whatever_context(|_| format!("can't write {}", file.display()))?;
+    }
     let mut line = report.show(Duration::from_millis(plan.duration_ms));
     match &target {
         Target::Entries(caller) => line["retries"] = json!(caller.retries()),
--- a/crates/testbed/src/cli/mod.rs
+++ b/crates/testbed/src/cli/mod.rs
@@ -1,5 +1,6 @@
 //! Command line.
 
+mod bench;
 mod caller;
 mod capacity;
 mod load;
@@ -26,6 +27,10 @@
         Some(("load", args)) => load::run_load(args).await,
         Some(("capacity", args)) => capacity::run_capacity(args).await,
         Some(("policy", args)) => policy::run_policy(args),
+        Some(("bench-check", args)) => bench::run_check(args).await,
+        Some(("bench-sample", args)) => bench::run_sample(args).await,
+        Some(("bench-table", args)) => bench::run_table(args),
+        Some(("store-control", args)) => bench::run_store_control(args).await,
         _ => Ok(ExitCode::FAILURE),
     };
     result.unwrap_or_else(|e: Whatever| {
@@ -44,6 +49,7 @@
         .subcommand(load::build_command())
         .subcommand(capacity::build_command())
         .subcommand(policy::build_command())
+        .subcommands(bench::build_commands())
 }
 
 /// An option with a value of the type `T`.
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each stand-in runs as a process of its own or inside a test, on any free port of the loopback interface.
 
 pub mod answer;
+pub mod bench;
 pub mod capacity;
 pub mod client;
 pub mod http;
--- a/crates/testbed/src/load/mod.rs
+++ b/crates/testbed/src/load/mod.rs
@@ -7,5 +7,5 @@
 
 pub use direct::Direct;
 pub use plan::{Arrival, Plan, QueuePlan};
-pub use report::{Counts, Ended, Report};
+pub use report::{Counts, Ended, JobRecord, Report};
 pub use run::{Target, lease_ttl, run};
--- a/crates/testbed/src/load/report.rs
+++ b/crates/testbed/src/load/report.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use smol_str::SmolStr;
 
@@ -15,11 +16,30 @@
 /// Significant digits of a latency.
 const DIGITS: u8 = 3;
 
+/// An ended job as a check of the starts needs it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// Request id, which is also the mark of the payload.
+    pub mark: SmolStr,
+    /// Queue.
+    pub queue: SmolStr,
+    /// Team; empty if none.
+    pub team: SmolStr,
+    /// Time of the scheduled arrival in ms since the Unix epoch.
+    pub arrived_ms: u64,
+    /// Outcome.
+    pub result: Outcome,
+}
+
 /// One ended job.
 #[derive(Clone, Debug)]
 pub struct Ended {
     /// Index of the queue in the plan.
     pub queue: usize,
+    /// Request id, which is also the mark of the payload.
+    pub mark: SmolStr,
+    /// Time from the start of the load to the scheduled arrival.
+    pub arrived: Duration,
     /// Outcome.
     pub outcome: Outcome,
     /// Time from the scheduled arrival to the outcome.
@@ -79,6 +99,8 @@
     pub teams: BTreeMap<SmolStr, Counts>,
     /// Arrivals that were not sent because too many jobs were under way.
     pub not_sent: u64,
+    /// All ended jobs.
+    pub jobs: Vec<JobRecord>,
     /// Why jobs weren't served.
     pub reasons: BTreeMap<String, u64>,
     send_lag: Option<Histogram<u64>>,
--- a/crates/testbed/src/load/run.rs
+++ b/crates/testbed/src/load/run.rs
@@ -1,6 +1,6 @@
 //! Sends the jobs of a plan at their times.
 
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use async_std::task;
 use futures::StreamExt;
@@ -9,7 +9,7 @@
 
 use super::direct::Direct;
 use super::plan::{Arrival, Plan, QueuePlan};
-use super::report::{Ended, Report};
+use super::report::{Ended, JobRecord, Report};
 use crate::submit::{self, Caller, Job, Outcome};
 
 /// Reasons that a report keeps.
@@ -55,13 +55,15 @@
     let mut report = Report::default();
     let mut in_flight = 0;
     let start = Instant::now();
+    // The wall clock is after 1970.
+    let start_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
     for (number, arrival) in schedule.into_iter().enumerate() {
         if let Some(wait) = arrival.at.checked_sub(start.elapsed()) {
             task::sleep(wait).await;
         }
         while let Ok(done) = ended.try_recv() {
             in_flight -= 1;
-            count_ended(&mut report, plan, &done);
+            count_ended(&mut report, plan, start_ms, done);
         }
         if in_flight >= max_in_flight {
             report.not_sent += 1;
@@ -75,7 +77,7 @@
     }
     drop(tx);
     while let Some(done) = ended.next().await {
-        count_ended(&mut report, plan, &done);
+        count_ended(&mut report, plan, start_ms, done);
     }
     report
 }
@@ -91,15 +93,24 @@
     let sent = start.elapsed();
     let outcome = target.submit(&queue, &job).await;
     let now = start.elapsed();
+    let mark = job.request_id.unwrap_or_default();
     let (latency, service) = (now.saturating_sub(arrival.at), now.saturating_sub(sent));
     // The receiver lives until the last sender is dropped.
-    let _ = tx.unbounded_send(Ended { queue: arrival.queue, outcome, latency, service });
+    let _ = tx.unbounded_send(Ended { queue: arrival.queue, mark, arrived: arrival.at, outcome, latency, service });
 }
 
-fn count_ended(report: &mut Report, plan: &Plan, ended: &Ended) {
+fn count_ended(report: &mut Report, plan: &Plan, start_ms: u64, ended: Ended) {
     let queue = &plan.queues[ended.queue];
-    report.add(&queue.queue, queue.team.as_ref(), ended);
-    let Some(reason) = ended.outcome.reason() else { return };
+    report.add(&queue.queue, queue.team.as_ref(), &ended);
+    let reason = ended.outcome.reason();
+    report.jobs.push(JobRecord {
+        mark: ended.mark,
+        queue: queue.queue.clone(),
+        team: queue.team.clone().unwrap_or_default(),
+        arrived_ms: start_ms + ended.arrived.as_millis() as u64,
+        result: ended.outcome,
+    });
+    let Some(reason) = reason else { return };
     if report.reasons.len() < KEPT_REASONS || report.reasons.contains_key(&reason) {
         *report.reasons.entry(reason).or_default() += 1;
     }
--- a/crates/testbed/src/submit.rs
+++ b/crates/testbed/src/submit.rs
@@ -45,7 +45,7 @@
 }
 
 /// What became of a job.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "outcome", rename_all = "snake_case")]
 pub enum Outcome {
     /// The whole answer to this job came.
