--- a/crates/carawaybarrow/src/shards.rs
+++ b/crates/carawaybarrow/src/shards.rs
@@ -15,30 +15,15 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
-use crate::entry::{self, Entry};
+use crate::entry::Entry;
 use crate::peer::PeerError;
-use crate::store::{self, CommitError, Committed, Put, PutAnswer, StoreError};
+use crate::store::{self, CommitError, Committed, StoreError};
 
 /// Writes per second that all owners together make to job shards; part of the store's budget.
 const JOURNAL_WRITES_PER_SECOND: u64 = 140;
 
-/// Lifetime of the store lease under which an entry owns shards.
-const OWNER_LEASE_TTL: Millis = Millis(5_000);
-
-/// Time without a successful renewal after which an entry no longer counts on its lease.
-const OWNER_LEASE_TRUST: Millis = Millis(4_000);
-
-/// Interval of ownership checks and renewals.
-const OWNERSHIP_INTERVAL: Duration = Duration::from_millis(1_000);
-
 /// Time without a heartbeat after which an owner is asked no more and its shards may be taken.
-const OWNER_SILENCE: Millis = Millis(3_000);
-
-/// Time for which a shard must be without an owner before an entry takes more than its part.
-const ORPHAN_DELAY: Millis = Millis(3_000);
-
-/// Interval at which an owner reads its shards, to see what other entries wrote without it.
-const REFRESH_INTERVAL: Millis = Millis(5_000);
+pub(crate) const OWNER_SILENCE: Millis = Millis(3_000);
 
 /// Why journal commands have no outcome.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
@@ -69,40 +54,40 @@
 type Answer = Result<Vec<JobOutcome>, SubmitError>;
 
 #[derive(Debug)]
-struct Pending {
+pub(crate) struct Pending {
     commands: Vec<JobCommand>,
     tx: oneshot::Sender<Answer>,
 }
 
 #[derive(Debug, Default)]
-struct Owned {
-    version: StoreVersion,
-    document: JobShard,
+pub(crate) struct Owned {
+    pub version: StoreVersion,
+    pub document: JobShard,
     /// Version of the owner key, which an orderly release names.
-    owner_version: StoreVersion,
-    pending: Vec<Pending>,
-    writing: bool,
-    refreshed_at: MonoTime,
+    pub owner_version: StoreVersion,
+    pub pending: Vec<Pending>,
+    pub writing: bool,
+    pub refreshed_at: MonoTime,
 }
 
 #[derive(Debug, Default)]
-struct Ownership {
-    lease: Option<LeaseId>,
-    renewed_at: MonoTime,
-    owned: BTreeMap<ShardId, Owned>,
+pub(crate) struct Ownership {
+    pub lease: Option<LeaseId>,
+    pub renewed_at: MonoTime,
+    pub owned: BTreeMap<ShardId, Owned>,
     /// Since when a shard has been without an owner, as far as this entry knows.
-    orphaned: BTreeMap<ShardId, MonoTime>,
+    pub orphaned: BTreeMap<ShardId, MonoTime>,
     /// Values of writes of owner keys whose answer was lost. Such a write may have taken effect, and renewals of the
     /// lease would then keep a key that no entry acts on.
-    taking: BTreeMap<ShardId, String>,
+    pub taking: BTreeMap<ShardId, String>,
     /// Versions of owner keys that are to be deleted, until the store has answered.
-    releasing: BTreeMap<ShardId, StoreVersion>,
+    pub releasing: BTreeMap<ShardId, StoreVersion>,
 }
 
 /// The shards that this entry owns.
 #[derive(Debug)]
 pub struct Shards {
-    count: u16,
+    pub(crate) count: u16,
     state: Mutex<Ownership>,
 }
 
@@ -113,7 +98,7 @@
         Self { count, state: Mutex::default() }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Ownership> {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Ownership> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -138,7 +123,7 @@
         Duration::from_millis(u64::from(self.count) * 1_000 / JOURNAL_WRITES_PER_SECOND)
     }
 
-    fn take_version(&self, shard: ShardId, version: StoreVersion, document: JobShard, now: MonoTime) {
+    pub(crate) fn take_version(&self, shard: ShardId, version: StoreVersion, document: JobShard, now: MonoTime) {
         if let Some(owned) = self.lock().owned.get_mut(&shard) {
             owned.refreshed_at = now;
             if version > owned.version {
@@ -167,7 +152,7 @@
         Some((std::mem::take(&mut owned.pending), owned.version, owned.document.clone()))
     }
 
-    fn drop_all(&self) {
+    pub(crate) fn drop_all(&self) {
         let mut state = self.lock();
         // The keys end with the lease.
         state.lease = None;
@@ -210,10 +195,6 @@
     format!("jobs/{shard}")
 }
 
-fn owner_key(shard: ShardId) -> String {
-    format!("owner/jobs-{shard}")
-}
-
 impl Entry {
     /// Commits commands to a shard that this entry owns, together with those of other callers.
     ///
@@ -305,196 +286,6 @@
         let document = JobShard::decode(&stored.bytes).map_err(|_undecodable| StoreError::Refused)?;
         Ok(find_status(&document, job))
     }
-
-    /// Takes and keeps the part of the shards that this entry should own.
-    pub async fn keep_shards(self: Arc<Self>) {
-        while !self.is_stopping() {
-            self.renew_ownership().await;
-            if self.holds_lease() {
-                self.take_shards().await;
-                self.release_surplus().await;
-            }
-            self.refresh_shards().await;
-            task::sleep(OWNERSHIP_INTERVAL).await;
-        }
-        self.give_up_shards().await;
-    }
-
-    fn holds_lease(&self) -> bool {
-        self.shards.lock().lease.is_some()
-    }
-
-    async fn renew_ownership(&self) {
-        let lease = self.shards.lock().lease.clone();
-        let sent = self.clock.now();
-        let renewed = match &lease {
-            Some(lease) => self.store.renew_lease(lease).await,
-            None => match self.store.grant_lease(OWNER_LEASE_TTL).await {
-                Ok(lease) => {
-                    self.shards.lock().lease = Some(lease);
-                    Ok(())
-                }
-                Err(e) => Err(e),
-            },
-        };
-        let mut state = self.shards.lock();
-        if renewed.is_ok() {
-            state.renewed_at = sent;
-            return;
-        }
-        let lapsed =
-            renewed == Err(StoreError::LeaseLapsed) || self.clock.now().since(state.renewed_at) > OWNER_LEASE_TRUST;
-        let lost = !state.owned.is_empty();
-        drop(state);
-        if lapsed {
-            self.shards.drop_all();
-            if lost {
-                log::warn!("ownership of job shards lost");
-            }
-        }
-    }
-
-    /// Number of shards that this entry should own.
-    fn find_part(&self) -> usize {
-        let members = self.holder.members().members.current.len().max(1);
-        usize::from(self.shards.count).div_ceil(members)
-    }
-
-    async fn take_shards(self: &Arc<Self>) {
-        for shard in self.find_free_shards() {
-            let (lease, lost) = {
-                let state = self.shards.lock();
-                (state.lease.clone(), state.taking.get(&shard).cloned())
-            };
-            let Some(lease) = lease else { return };
-            // A repeated write has the value of the lost one, so that either of them is recognized.
-            let value = lost.unwrap_or_else(|| format!("{} {}", self.settings.entry, entry::new_id()));
-            let bytes = value.clone().into_bytes();
-            let put = Put { key: owner_key(shard), expect: StoreVersion(0), bytes, lease: Some(lease) };
-            match self.store.put(put).await {
-                Ok(PutAnswer::Written(owner_version)) => self.start_owning(shard, owner_version).await,
-                Ok(PutAnswer::Conflict(version)) => self.settle_lost_take(shard, version).await,
-                Err(StoreError::Lost) => drop(self.shards.lock().taking.insert(shard, value)),
-                Err(_) => return,
-            }
-        }
-    }
-
-    /// Starts to own a shard if the key that exists was written by this entry and only the answer was lost.
-    async fn settle_lost_take(self: &Arc<Self>, shard: ShardId, version: StoreVersion) {
-        let Some(value) = self.shards.lock().taking.get(&shard).cloned() else { return };
-        let Ok(Some(stored)) = self.store.get(&owner_key(shard)).await else { return };
-        if stored.bytes == value.as_bytes() {
-            self.start_owning(shard, stored.version).await;
-        } else if stored.version >= version {
-            self.shards.lock().taking.remove(&shard);
-        }
-    }
-
-    /// Shards that this entry should try to take now.
-    fn find_free_shards(&self) -> Vec<ShardId> {
-        let now = self.clock.now();
-        let part = self.find_part();
-        let mut state = self.shards.lock();
-        let mut free = Vec::new();
-        for shard in (0..self.shards.count).map(ShardId) {
-            let is_own = state.owned.contains_key(&shard) || state.releasing.contains_key(&shard);
-            if is_own || self.peers.find_owner(shard, now, OWNER_SILENCE).is_some() {
-                state.orphaned.remove(&shard);
-                continue;
-            }
-            let since = *state.orphaned.entry(shard).or_insert(now);
-            free.push((shard, now.since(since) >= ORPHAN_DELAY));
-        }
-        let mut room = part.saturating_sub(state.owned.len());
-        // Entries start at different shards, so that they don't all try the same one first.
-        let start = self.find_first_shard();
-        free.sort_by_key(|(shard, _)| (shard.0 + self.shards.count - start) % self.shards.count);
-        free.retain(|(_, is_old)| {
-            let takes = *is_old || room > 0;
-            room = room.saturating_sub(1);
-            takes
-        });
-        free.into_iter().map(|(shard, _)| shard).collect()
-    }
-
-    fn find_first_shard(&self) -> u16 {
-        let mut hasher = rustc_hash::FxHasher::default();
-        hasher.write(self.settings.entry.as_str().as_bytes());
-        // The remainder is below a u16.
-        (hasher.finish() % u64::from(self.shards.count)) as u16
-    }
-
-    async fn start_owning(self: &Arc<Self>, shard: ShardId, owner_version: StoreVersion) {
-        let owned = Owned { owner_version, ..Owned::default() };
-        {
-            let mut state = self.shards.lock();
-            state.taking.remove(&shard);
-            state.owned.insert(shard, owned);
-        }
-        log::info!(shard:% = shard; "job shard owned");
-        self.refresh_shard(shard).await;
-    }
-
-    async fn release_surplus(&self) {
-        let part = self.find_part();
-        let surplus = {
-            let state = self.shards.lock();
-            let idle = |owned: &Owned| !owned.writing && owned.pending.is_empty();
-            let found = state.owned.iter().rev().find(|(_, owned)| idle(owned));
-            found.filter(|_| state.owned.len() > part).map(|(shard, owned)| (*shard, owned.owner_version))
-        };
-        if let Some((shard, version)) = surplus {
-            let mut state = self.shards.lock();
-            state.owned.remove(&shard);
-            state.releasing.insert(shard, version);
-        }
-        let releasing = self.shards.lock().releasing.clone();
-        for (shard, version) in releasing {
-            // If the call is lost, the next look repeats it; otherwise renewals of the lease would keep the key.
-            if self.store.delete(&owner_key(shard), version).await.is_ok() {
-                self.shards.lock().releasing.remove(&shard);
-                log::info!(shard:% = shard; "job shard given to another entry");
-            }
-        }
-    }
-
-    async fn refresh_shards(self: &Arc<Self>) {
-        let now = self.clock.now();
-        let old: Vec<_> = {
-            let state = self.shards.lock();
-            let is_old = |owned: &Owned| now.since(owned.refreshed_at) >= REFRESH_INTERVAL;
-            state.owned.iter().filter(|(_, owned)| is_old(owned)).map(|(shard, _)| *shard).collect()
-        };
-        for shard in old {
-            self.refresh_shard(shard).await;
-            self.ask_claimants(shard).await;
-        }
-        for shard in self.shards.owned() {
-            self.adopt_claims(shard);
-        }
-    }
-
-    async fn refresh_shard(self: &Arc<Self>, shard: ShardId) {
-        let Ok(stored) = self.store.get(&shard_key(shard)).await else { return };
-        let now = self.clock.now();
-        match stored.map(|s| (s.version, JobShard::decode(&s.bytes))) {
-            Some((version, Ok(document))) => self.shards.take_version(shard, version, document, now),
-            Some((_, Err(e))) => log::error!(shard:% = shard, error:% = e; "a job shard can't be read"),
-            None => self.shards.take_version(shard, StoreVersion(0), JobShard::default(), now),
-        }
-        self.offer_waiting(shard);
-    }
-
-    /// Ends ownership at a planned stop, so that peers can take over at once.
-    pub async fn give_up_shards(&self) {
-        let lease = self.shards.lock().lease.clone();
-        self.shards.drop_all();
-        if let Some(lease) = lease {
-            // If the call is lost, the lease lapses.
-            let _ = self.store.revoke_lease(&lease).await;
-        }
-    }
 }
 
 fn answer_batch(batch: Vec<Pending>, outcomes: Vec<JobOutcome>) {
