--- a/crates/carawaybarrow/src/shards.rs
+++ b/crates/carawaybarrow/src/shards.rs
@@ -1,7 +1,6 @@
 //! Job shards: ownership, group commit and access through the owner.
 
 use std::collections::BTreeMap;
-use std::hash::Hasher;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
