Answer a repeated request with 200 only if its job is done

Ruled out: an answer of another job, since the body named the right job and had no answer at all. Change: repeated requests are answered by one function, with 202 unless the job is done. Result: the added check in path.rs fails before and passes after; path (6) and at_most_once (5) pass. Conclusion: the new answer of a refusal had gone past the rule that acceptances already had.

--- a/crates/carawaybarrow/src/front.rs
+++ b/crates/carawaybarrow/src/front.rs
@@ -223,15 +223,24 @@
     /// journal was read and doesn't have the job.
     async fn refuse_repeated(self: &Arc<Self>, job: &JobId, refusal: &Refusal) -> (Response, Ran) {
         match self.get_job(job).await {
-            Ok(Some(status)) => {
-                let ran = status.view.ran;
-                (self.describe_job(job, status.view).await.1, ran)
-            }
+            Ok(Some(status)) => self.describe_earlier(job, status.view).await,
             Ok(None) => (describe_refusal(refusal), Ran::No),
             Err(_) => (describe_unknown(job, EARLIER_REQUEST), Ran::Unknown),
         }
     }
 
+    /// Answers a repeated request with the state of its job. Unless the job is done, the status is that of the first
+    /// request, 202, because callers take 200 for the answer of the job.
+    async fn describe_earlier(&self, job: &JobId, view: JobView) -> (Response, Ran) {
+        let ran = view.ran;
+        let is_done = view.state == StateName::Done;
+        let (status, mut res) = self.describe_job(job, view).await;
+        if status == StatusCode::Ok && !is_done {
+            res.set_status(StatusCode::Accepted);
+        }
+        (res, ran)
+    }
+
     async fn take_durable(self: &Arc<Self>, spec: JobSpec, payload: String, repeatable: bool) -> (Response, Ran) {
         let job = spec.id.clone();
         match self.accept_durable(spec, payload).await {
@@ -239,15 +248,7 @@
                 let body = json!({ "job": job, "state": StateName::Waiting });
                 (respond(StatusCode::Accepted, &body), Ran::No)
             }
-            Ok(JobOutcome::AlreadyThere { view }) => {
-                let ran = view.ran;
-                let (status, res) = self.describe_job(&job, *view).await;
-                // A repeated request is answered like the first one while its job has not ended.
-                let status = if status == StatusCode::Ok && ran != Ran::Yes { StatusCode::Accepted } else { status };
-                let mut res = res;
-                res.set_status(status);
-                (res, ran)
-            }
+            Ok(JobOutcome::AlreadyThere { view }) => self.describe_earlier(&job, *view).await,
             Ok(JobOutcome::Rejected { why: Rejection::Full { .. } }) => {
                 let refusal = Refusal::Overloaded { retry_after: Millis::from_secs(1) };
                 (describe_refusal(&refusal), Ran::No)
--- a/crates/carawaybarrow/tests/path.rs
+++ b/crates/carawaybarrow/tests/path.rs
@@ -132,5 +132,7 @@
         let repeated = cluster.call(i, Method::Post, "/v1/jobs", CLINIC_SECRET, &body).await;
         let answer: Value = repeated.json().expect("JSON");
         assert!(answer["state"].is_string() || answer["ran"] == "unknown", "{answer}");
+        // A caller takes 200 for the answer of the job, which has not ended.
+        assert_ne!(repeated.status, 200, "{answer}");
     }
 }
