Probe the store at once when the member list changes

Cause: evidence of freshness counts only under the present member list. Ruled out: an unreachable store and a removed member (neither is in the logs). Change: a new member list wakes the probe. Conclusion: member changes are rare, so the budget of probes holds.

--- a/crates/carawaybarrow/src/config_sync.rs
+++ b/crates/carawaybarrow/src/config_sync.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
-use async_std::task;
+use async_std::{future, task};
 use carawaybarrow_core::Map;
 use carawaybarrow_core::commit::{Commit, Document};
 use carawaybarrow_core::config::{Config, ConfigCommand, ConfigOutcome, Update};
@@ -135,6 +135,9 @@
         if self.holder.install_members(update) {
             log::info!(revision = members.revision.0, members = members.current.len(); "member list taken");
             self.freshness().take_members(&members, self.clock.now());
+            // Evidence of an earlier list counts no more, so a new entry and its peers would be without any until the
+            // next probe. A full channel means that a probe is about to follow.
+            let _ = self.probe_wake.0.try_send(());
         }
     }
 
@@ -232,7 +235,8 @@
                 }
                 _ => PROBE_INTERVAL.to_duration(),
             };
-            task::sleep(pause).await;
+            // The end of the wait and a wake-up lead to the same next probe.
+            let _ = future::timeout(pause, self.probe_wake.1.recv()).await;
         }
     }
 
--- a/crates/carawaybarrow/src/entry.rs
+++ b/crates/carawaybarrow/src/entry.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
-use async_std::task;
+use async_std::{channel, task};
 use carawaybarrow_core::freshness::Freshness;
 use carawaybarrow_core::ids::{ChangeId, Incarnation, TaskId};
 use rand::Rng;
@@ -70,6 +70,8 @@
     pub urgent_counts: UrgentCounts,
     /// VM records.
     pub fleet: FleetState,
+    /// Asks for a probe of the store at once.
+    pub probe_wake: (channel::Sender<()>, channel::Receiver<()>),
     freshness: Mutex<Freshness>,
     dispatch: Mutex<Dispatch>,
     addresses: OnceLock<Addresses>,
@@ -99,6 +101,7 @@
             fleet: FleetState::default(),
             freshness: Mutex::new(Freshness::new(id.clone(), incarnation).with_outage_limit(settings.outage_limit)),
             dispatch: Mutex::new(Dispatch::new(id, incarnation, settings.data_centre.clone())),
+            probe_wake: channel::bounded(1),
             addresses: OnceLock::new(),
             stopping: AtomicBool::new(false),
             store_reachable: AtomicBool::new(false),
