--- a/crates/carawaybarrow/src/clock.rs
+++ b/crates/carawaybarrow/src/clock.rs
@@ -26,11 +26,25 @@
     /// Wall time; used for records and for targets at a time of day.
     #[must_use]
     pub fn wall(&self) -> WallTime {
-        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        WallTime(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX))
+        wall_now()
     }
 }
 
+/// Time since the machine started, which goes on while the process or the machine is suspended.
+#[must_use]
+pub fn boot_now() -> MonoTime {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    // The clock never shows a negative time.
+    MonoTime(time.tv_sec.unsigned_abs() * 1_000 + time.tv_nsec.unsigned_abs() / 1_000_000)
+}
+
+/// Time of day.
+#[must_use]
+pub fn wall_now() -> WallTime {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    WallTime(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX))
+}
+
 impl Default for Clock {
     fn default() -> Self {
         Self::new()
--- a/crates/carawaybarrow/src/command_serve.rs
+++ b/crates/carawaybarrow/src/command_serve.rs
@@ -13,6 +13,7 @@
 use crate::cli::{self, Output, Run};
 use crate::failure::Failure;
 use crate::logging;
+use crate::node;
 use crate::serve;
 use crate::settings::Settings;
 
@@ -33,7 +34,8 @@
     let serve = Command::new("serve").about("Run an entry").arg(settings.clone());
     let check = Command::new("check").about("Check settings and a configuration without starting");
     let check = check.args([settings, configuration]);
-    vec![(serve, run_serve), (check, run_check)]
+    let node = Command::new("node").about("Run an entry on the platform; the platform tells where its settings are");
+    vec![(serve, run_serve), (check, run_check), (node, run_node)]
 }
 
 /// Reads the settings; each finding starts with the name of the file.
@@ -54,6 +56,12 @@
     task::block_on(serve::serve(settings)).map_err(|e| Failure::Failed(e.to_string()))
 }
 
+fn run_node(_: &ArgMatches, _: &Output) -> Result<(), Failure> {
+    let settings = carawaybarrow_platform::settings::Settings::load().map_err(Failure::Invalid)?;
+    logging::start_stdout_logging();
+    task::block_on(node::run::run(settings)).map_err(|e| Failure::Failed(e.to_string()))
+}
+
 fn run_check(args: &ArgMatches, output: &Output) -> Result<(), Failure> {
     let mut findings = Findings::new();
     let settings = load_settings(args).map_err(|found| findings.extend(found)).ok();
--- /dev/null
+++ b/crates/carawaybarrow/src/node/callers.rs
@@ -0,0 +1,263 @@
+//! Requests of callers.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use carawaybarrow_core::sched::graph::{JobKey, TeamName};
+use carawaybarrow_core::sched::progress::{JobRecord, JobState};
+use carawaybarrow_platform::callers::{self, KEY_HEADER};
+use carawaybarrow_platform::configuration::{Configuration, Queue};
+use carawaybarrow_platform::store::{Change, Changed, StoreError, StoreRevision};
+use http_types::Method;
+use serde_json::json;
+use tide::{Request, Response, StatusCode};
+
+use crate::node::peers::Peers;
+use crate::node::records;
+use crate::node::view::{self, View};
+
+/// Time for one answer of the store to a write; slow answers take up to 0.5 s.
+const WRITE_LIMIT: Duration = Duration::from_millis(700);
+
+/// Time in which an unanswered write is repeated before its outcome is given as unknown.
+const UNKNOWN_LIMIT: Duration = Duration::from_millis(1_800);
+
+/// Time in which a write that the store refuses is repeated before the caller is sent elsewhere.
+const REFUSED_LIMIT: Duration = Duration::from_millis(100);
+
+/// Pause before a refused write is repeated.
+const RETRY_PAUSE: Duration = Duration::from_millis(30);
+
+/// Time for a read of the store on a caller's path.
+const READ_LIMIT: Duration = Duration::from_millis(700);
+
+/// Seconds after which a refused caller should come again.
+const COME_BACK_SECS: u32 = 1;
+
+/// State of the callers' surface.
+#[derive(Clone, Debug)]
+pub struct Front {
+    /// What the entry knows.
+    pub view: Arc<View>,
+    /// Calls to the scheduler.
+    pub peers: Arc<Peers>,
+}
+
+/// Answers all requests of callers.
+pub fn add_routes(app: &mut tide::Server<Front>) {
+    app.at("/").all(answer);
+    app.at("/*").all(answer);
+}
+
+/// Why a request was answered as it was, for the log.
+struct Answer {
+    status: u16,
+    body: Vec<u8>,
+    reason: &'static str,
+}
+
+impl Answer {
+    fn new(status: u16, reason: &'static str) -> Self {
+        Self { status, body: Vec::new(), reason }
+    }
+
+    fn with_body(mut self, body: Vec<u8>) -> Self {
+        self.body = body;
+        self
+    }
+}
+
+async fn answer(mut req: Request<Front>) -> tide::Result {
+    let began = Instant::now();
+    let front = req.state().clone();
+    let path = req.url().path().to_owned();
+    let method = req.method();
+    let (answer, version, age) = front.decide(&mut req, &path).await;
+    let elapsed = began.elapsed().as_millis() as u64;
+    // Frequent questions after the state of a job change nothing, so only those that fail are written.
+    if method != Method::Get || answer.status >= 400 {
+        log::info!(method:% = method, path:% = path, status = answer.status, reason = answer.reason, config = version, proof_age_ms = age, took_ms = elapsed; "request");
+    }
+    let mut res = Response::new(StatusCode::try_from(answer.status).unwrap_or(StatusCode::InternalServerError));
+    if matches!(answer.status, 429 | 503) {
+        res.insert_header("retry-after", COME_BACK_SECS.to_string());
+    }
+    let body = match answer.body {
+        body if !body.is_empty() => body,
+        _ if answer.status >= 400 => json!({ "error": answer.reason }).to_string().into_bytes(),
+        _ => b"{}".to_vec(),
+    };
+    res.set_body(body);
+    res.set_content_type("application/json");
+    Ok(res)
+}
+
+impl Front {
+    async fn decide(&self, req: &mut Request<Self>, path: &str) -> (Answer, u64, u64) {
+        let Some((configuration, age)) = self.view.current() else {
+            return (Answer::new(503, "the configuration is not known to be current"), 0, 0);
+        };
+        let version = configuration.version;
+        let answer = self.decide_with(req, path, &configuration).await;
+        (answer, version, age.0)
+    }
+
+    async fn decide_with(&self, req: &mut Request<Self>, path: &str, configuration: &Configuration) -> Answer {
+        let host = req.header("host").map(|h| h.as_str().to_owned()).unwrap_or_default();
+        let Some(queue) = configuration.find_queue(&host, path) else { return Answer::new(404, "no such queue") };
+        let key = req.header(KEY_HEADER).map(|k| k.as_str().to_owned());
+        let team = match find_team(configuration, queue, key.as_deref()) {
+            Ok(team) => team,
+            Err(answer) => return answer,
+        };
+        let rest = &path[queue.prefix.len()..];
+        if rest.is_empty() {
+            return match req.method() {
+                Method::Get => self.pending(queue).await,
+                _ => Answer::new(405, "a queue can only be read"),
+            };
+        }
+        if !callers::is_job_id(rest) {
+            return Answer::new(400, "the path does not end with 16 hexadecimal digits");
+        }
+        let job = JobKey::new(rest);
+        match req.method() {
+            Method::Post => {
+                let body = req.body_bytes().await.unwrap_or_default();
+                self.submit(&job, &body, queue, team).await
+            }
+            Method::Get => self.state(&job).await,
+            Method::Delete => self.cancel(&job).await,
+            _ => Answer::new(405, "a job can be sent, read and deleted"),
+        }
+    }
+
+    async fn pending(&self, queue: &Queue) -> Answer {
+        match self.peers.pending(&queue.name).await {
+            Some(count) => Answer::new(200, "").with_body(callers::write_pending(count)),
+            None => Answer::new(503, "the scheduler can't be asked"),
+        }
+    }
+
+    async fn submit(&self, job: &JobKey, body: &[u8], queue: &Queue, team: Option<TeamName>) -> Answer {
+        let spec = match callers::read_job(body, queue, team, view::now().wall) {
+            Ok(spec) => spec,
+            Err(findings) => {
+                let body = json!({ "errors": findings }).to_string().into_bytes();
+                return Answer::new(400, "the job is malformed").with_body(body);
+            }
+        };
+        let record = JobRecord::Accepted(spec);
+        let change = Change {
+            expected: vec![(records::job_key(job), StoreRevision::ABSENT)],
+            puts: vec![(records::job_key(job), records::write(&record), None)],
+            deletes: Vec::new(),
+        };
+        match self.write(&change).await {
+            Written::Done(revision) => {
+                let (peers, job) = (Arc::clone(&self.peers), job.clone());
+                async_std::task::spawn(async move { peers.push_job(&job, record, revision.0).await });
+                Answer::new(200, "accepted")
+            }
+            Written::Exists => Answer::new(200, "accepted before"),
+            Written::Nothing => Answer::new(503, "the store refuses writes; the job was not accepted"),
+            Written::Unknown => Answer::new(504, "the store did not answer; the job may be accepted"),
+        }
+    }
+
+    /// Writes until the outcome is known or the time is over.
+    async fn write(&self, change: &Change) -> Written {
+        let began = Instant::now();
+        let mut may_have_happened = false;
+        loop {
+            match self.view.store.change(change, WRITE_LIMIT).await {
+                Ok(Changed::Done(revision)) => return Written::Done(revision),
+                // The first condition names the key that the change creates.
+                Ok(Changed::Conflict(_)) => return Written::Exists,
+                Ok(Changed::NoLease) => return Written::Nothing,
+                Err(e) => {
+                    log::info!(error:% = e, key:% = change.expected[0].0; "write not answered");
+                    may_have_happened |= e.may_have_happened();
+                    let limit = if may_have_happened { UNKNOWN_LIMIT } else { REFUSED_LIMIT };
+                    if began.elapsed() + RETRY_PAUSE >= limit {
+                        return if may_have_happened { Written::Unknown } else { Written::Nothing };
+                    }
+                    async_std::task::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// State of a job: the scheduler's word, or what the store holds.
+    async fn find_state(&self, job: &JobKey) -> Result<Option<JobState>, StoreError> {
+        if let Some(state) = self.peers.state_of(job).await {
+            return Ok(Some(state));
+        }
+        let Some(item) = self.view.store.get(&records::job_key(job), READ_LIMIT).await? else { return Ok(None) };
+        let Some(value) = item.value else { return Ok(None) };
+        match records::read::<JobRecord>(&value) {
+            Ok(JobRecord::Ended { state, .. }) => Ok(Some(state)),
+            Ok(JobRecord::Accepted(_)) => {
+                let mark = self.view.store.get(&records::cancel_key(job), READ_LIMIT).await?;
+                Ok(Some(if mark.is_some() { JobState::Cancelled } else { JobState::Queued }))
+            }
+            Err(e) => {
+                log::error!(job:% = job, error:% = e; "the record of a job can't be read");
+                Ok(Some(JobState::Queued))
+            }
+        }
+    }
+
+    async fn state(&self, job: &JobKey) -> Answer {
+        match self.find_state(job).await {
+            Ok(Some(state)) => Answer::new(200, "").with_body(callers::write_state(state)),
+            Ok(None) => Answer::new(410, "no such job"),
+            Err(_) => Answer::new(503, "neither the scheduler nor the store can be asked"),
+        }
+    }
+
+    async fn cancel(&self, job: &JobKey) -> Answer {
+        match self.find_state(job).await {
+            Ok(Some(state)) if state.is_final() => return Answer::new(200, "it has ended already"),
+            Ok(Some(_)) => {}
+            Ok(None) => return Answer::new(410, "no such job"),
+            Err(_) => return Answer::new(503, "neither the scheduler nor the store can be asked"),
+        }
+        let change = Change {
+            expected: vec![(records::cancel_key(job), StoreRevision::ABSENT)],
+            puts: vec![(records::cancel_key(job), b"{}".to_vec(), None)],
+            deletes: Vec::new(),
+        };
+        match self.write(&change).await {
+            Written::Done(_) | Written::Exists => {
+                self.peers.push_cancel(job).await;
+                Answer::new(200, "cancelled")
+            }
+            Written::Nothing => Answer::new(503, "the store refuses writes; the job was not cancelled"),
+            Written::Unknown => Answer::new(504, "the store did not answer; the job may be cancelled"),
+        }
+    }
+}
+
+/// Outcome of a write.
+enum Written {
+    /// It was made.
+    Done(StoreRevision),
+    /// The key exists, by this or an earlier write.
+    Exists,
+    /// It was not made and never will be.
+    Nothing,
+    /// It may have been made, or may be later.
+    Unknown,
+}
+
+/// Team of a request; the key decides, except on queues open to all.
+fn find_team(configuration: &Configuration, queue: &Queue, key: Option<&str>) -> Result<Option<TeamName>, Answer> {
+    let team = key.and_then(|key| configuration.keys.get(key));
+    match team {
+        Some(team) => Ok(Some(team.clone())),
+        None if queue.is_open => Ok(None),
+        None if key.is_none() => Err(Answer::new(401, "the request has no key")),
+        None => Err(Answer::new(401, "the key is unknown")),
+    }
+}
--- /dev/null
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -0,0 +1,214 @@
+//! Takes the scheduler's lease when nobody holds it, and keeps it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use carawaybarrow_core::Map;
+use carawaybarrow_core::sched::graph::JobKey;
+use carawaybarrow_core::sched::order::FencingToken;
+use carawaybarrow_core::sched::progress::{JobRecord, Progress};
+use carawaybarrow_core::sched::scheduler::Scheduler;
+use carawaybarrow_platform::store::{Change, Changed, Item, LeaseId, StoreError, StoreRevision};
+use snafu::Snafu;
+
+use crate::node::records::{self, JobItem, JOB_PREFIX, Owner, PROGRESS_PREFIX, ROSTER_KEY, SCHEDULER_KEY, TERMS_KEY};
+use crate::node::term::Term;
+use crate::node::view::{self, View};
+use crate::node::{links, listing, waves, writer};
+
+/// Length of the scheduler's lease; shorter ones end in short outages, longer ones keep the pools without a scheduler.
+const TERM_LEASE: Duration = Duration::from_millis(2_000);
+
+/// Time between renewals: three may fail before the lease ends.
+const RENEW_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time for an answer of the store.
+const STORE_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Pause before an attempt is repeated.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// Attempts to read the jobs at the start of a term, in which a fault of the store may pass.
+const LOAD_ATTEMPTS: usize = 20;
+
+/// Why a term could not begin.
+#[derive(Debug, Snafu)]
+enum ElectionError {
+    #[snafu(transparent)]
+    Store { source: StoreError },
+    #[snafu(display("a document can't be read: {source}"), context(false))]
+    Document { source: serde_json::Error },
+    #[snafu(display("the lease ended before the term began"))]
+    LeaseEnded,
+    #[snafu(display("the jobs could not be read"))]
+    NotLoaded,
+}
+
+/// Probes the store, and schedules while nobody else does.
+pub async fn run(view: Arc<View>, incarnation: u64) {
+    loop {
+        let is_answered = view.probe().await;
+        if view.is_stopping() {
+            return;
+        }
+        if is_answered && view.scheduler().is_none() && view.configuration().is_some() && view.term().is_none() {
+            match try_begin(&view, incarnation).await {
+                Ok(Some(term)) => begin(term),
+                Ok(None) => {}
+                Err(e) => log::warn!(error:% = e; "no term begun"),
+            }
+        }
+        task::sleep(view::PROBE_INTERVAL).await;
+    }
+}
+
+fn begin(term: Arc<Term>) {
+    log::info!(term = term.owner.term, token = term.revision.0; "term begun");
+    term.view.set_term(Some(Arc::clone(&term)));
+    task::spawn(renew(Arc::clone(&term)));
+    task::spawn(async move {
+        if let Err(e) = load(&term).await {
+            log::error!(error:% = e; "the term can't go on");
+            term.end("the jobs could not be read");
+            release(&term).await;
+            return;
+        }
+        task::spawn(writer::run(Arc::clone(&term)));
+        task::spawn(listing::watch_jobs(Arc::clone(&term)));
+        task::spawn(listing::list_workers(Arc::clone(&term)));
+        task::spawn(waves::run(Arc::clone(&term)));
+        task::spawn(links::tick(Arc::clone(&term)));
+    });
+}
+
+/// Ends the lease, so that another entry may take over at once.
+pub async fn release(term: &Term) {
+    if let Err(e) = term.view.store.end_lease(term.lease, STORE_LIMIT).await {
+        log::warn!(error:% = e; "the scheduler's lease was left to lapse");
+    }
+}
+
+async fn try_begin(view: &Arc<View>, incarnation: u64) -> Result<Option<Arc<Term>>, ElectionError> {
+    let store = &view.store;
+    let terms = store.get(TERMS_KEY, STORE_LIMIT).await?;
+    let (count, terms_revision) = match &terms {
+        Some(Item { value: Some(value), revision, .. }) => (records::read::<u32>(value)?, *revision),
+        _ => (0, StoreRevision::ABSENT),
+    };
+    let lease = store.grant_lease(TERM_LEASE.max(view.settings.shortest_store_lease.to_duration()), STORE_LIMIT).await?;
+    let owner = Owner { entry: view.settings.entry.clone(), peers: view.settings.peers, incarnation, term: count };
+    let change = Change {
+        expected: vec![(SCHEDULER_KEY.to_owned(), StoreRevision::ABSENT), (TERMS_KEY.to_owned(), terms_revision)],
+        puts: vec![
+            (SCHEDULER_KEY.to_owned(), records::write(&owner), Some(lease)),
+            (TERMS_KEY.to_owned(), records::write(&(count + 1)), None),
+        ],
+        deletes: Vec::new(),
+    };
+    let revision = match store.change(&change, STORE_LIMIT).await {
+        Ok(Changed::Done(revision)) => revision,
+        Ok(Changed::Conflict(_)) => {
+            abandon(view, lease).await;
+            return Ok(None);
+        }
+        Ok(Changed::NoLease) => return LeaseEndedSnafu.fail(),
+        Err(e) => {
+            // A lost answer may hide a success; the key tells.
+            let item = store.get(SCHEDULER_KEY, STORE_LIMIT).await?;
+            match item {
+                Some(item) if item.value.as_deref() == Some(&records::write(&owner)) => item.revision,
+                _ => {
+                    abandon(view, lease).await;
+                    return Err(e.into());
+                }
+            }
+        }
+    };
+    view.take_owner(&Item { key: SCHEDULER_KEY.to_owned(), value: Some(records::write(&owner)), revision, created: revision });
+    let policy = view.configuration().map(|c| Arc::clone(&c.policy)).unwrap_or_default();
+    let scheduler = Scheduler::new(FencingToken(revision.0), count, view.settings.bounds, policy);
+    Ok(Some(Arc::new(Term::new(owner, revision, lease, Arc::clone(view), scheduler))))
+}
+
+async fn abandon(view: &View, lease: LeaseId) {
+    if let Err(e) = view.store.end_lease(lease, STORE_LIMIT).await {
+        log::info!(error:% = e; "an unused lease was left to lapse");
+    }
+}
+
+async fn renew(term: Arc<Term>) {
+    while !term.is_ended() {
+        match term.view.store.renew_lease(term.lease, STORE_LIMIT).await {
+            Ok(true) => {}
+            Ok(false) => return term.end("the scheduler's lease has ended"),
+            // Without the store nobody else can take over either, unless it serves others; then workers refuse.
+            Err(e) => log::info!(error:% = e; "lease not renewed"),
+        }
+        task::sleep(RENEW_INTERVAL).await;
+    }
+}
+
+async fn load(term: &Arc<Term>) -> Result<(), ElectionError> {
+    for _ in 0..LOAD_ATTEMPTS {
+        match load_once(term).await {
+            Ok(()) => return Ok(()),
+            Err(e) => log::warn!(error:% = e; "the jobs can't be read yet"),
+        }
+        if term.is_ended() {
+            break;
+        }
+        task::sleep(RETRY_PAUSE).await;
+    }
+    NotLoadedSnafu.fail()
+}
+
+async fn load_once(term: &Arc<Term>) -> Result<(), ElectionError> {
+    let store = &term.view.store;
+    // The ends are read before the jobs: only this term may write them now, and it writes none before it is loaded.
+    let (progress_items, _) = store.list(PROGRESS_PREFIX, STORE_LIMIT).await?;
+    let roster = match store.get(ROSTER_KEY, STORE_LIMIT).await? {
+        Some(Item { value: Some(value), .. }) => records::read_roster(&value)?,
+        _ => Vec::new(),
+    };
+    let (jobs, as_of) = store.list(JOB_PREFIX, STORE_LIMIT).await?;
+    let mut progress: Map<JobKey, Progress> = Map::default();
+    {
+        let mut revisions = term.progress_revisions.lock().expect("no holder panics");
+        for item in progress_items {
+            let Some(value) = &item.value else { continue };
+            let job = JobKey::new(item.key.trim_start_matches(PROGRESS_PREFIX));
+            progress.insert(job.clone(), records::read(value)?);
+            revisions.insert(job, item.revision);
+        }
+    }
+    let now = view::now();
+    let count = jobs.len();
+    let workers = roster.len();
+    let mut cancelled = Vec::new();
+    for item in jobs {
+        let Some(value) = &item.value else { continue };
+        match records::read_job_key(&item.key) {
+            Some(JobItem::Cancel(job)) => cancelled.push(job),
+            Some(JobItem::Record(job)) => match records::read::<JobRecord>(value)? {
+                JobRecord::Accepted(spec) => {
+                    let done = progress.remove(&job).unwrap_or_default();
+                    let is_inherited = item.created < term.revision;
+                    term.with(|s| s.add_job(now, job, spec, done, is_inherited));
+                }
+                JobRecord::Ended { queue, state, .. } => term.with(|s| s.add_ended(job, queue, state)),
+            },
+            None => log::warn!(key:% = item.key; "unknown key among the jobs"),
+        }
+    }
+    term.with(|s| {
+        for job in &cancelled {
+            s.cancel_job(job);
+        }
+        s.take_roster(now.mono, roster);
+    });
+    term.set_loaded(as_of);
+    log::info!(term = term.owner.term, items = count, workers = workers, revision = as_of.0; "jobs loaded");
+    term.advance();
+    Ok(())
+}
--- /dev/null
+++ b/crates/carawaybarrow/src/node/term.rs
@@ -0,0 +1,224 @@
+//! One term of the scheduler: its state, and the orders that follow from it.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_std::{channel, task};
+use carawaybarrow_core::Map;
+use carawaybarrow_core::sched::graph::JobKey;
+use carawaybarrow_core::sched::order::Order;
+use carawaybarrow_core::sched::progress::{JobRecord, Progress};
+use carawaybarrow_core::sched::scheduler::{Event, Scheduler};
+use carawaybarrow_platform::store::{LeaseId, StoreRevision};
+use carawaybarrow_platform::workers::{Taken, Workers};
+
+use crate::node::records::Owner;
+use crate::node::view::{self, View};
+
+/// Time for the answer to an order; workers answer in milliseconds, and a start is sent again afterwards.
+const ORDER_LIMIT: Duration = Duration::from_millis(300);
+
+/// A term.
+#[derive(Debug)]
+pub struct Term {
+    /// Who schedules.
+    pub owner: Owner,
+    /// Change of the store that began the term; also its fencing token.
+    pub revision: StoreRevision,
+    /// Lease of the scheduler's key.
+    pub lease: LeaseId,
+    /// What the entry knows.
+    pub view: Arc<View>,
+    /// Client of the workers.
+    pub workers: Workers,
+    /// Revisions of the documents with the ends of jobs.
+    pub progress_revisions: Mutex<Map<JobKey, StoreRevision>>,
+    scheduler: Mutex<Scheduler>,
+    loaded: AtomicBool,
+    watch_start: AtomicU64,
+    ended: AtomicBool,
+    writes: (channel::Sender<()>, channel::Receiver<()>),
+}
+
+impl Term {
+    /// Begins a term.
+    #[must_use]
+    pub fn new(owner: Owner, revision: StoreRevision, lease: LeaseId, view: Arc<View>, scheduler: Scheduler) -> Self {
+        let workers = Workers::new(&view.settings.entry);
+        Self {
+            owner,
+            revision,
+            lease,
+            view,
+            workers,
+            progress_revisions: Mutex::default(),
+            scheduler: Mutex::new(scheduler),
+            loaded: AtomicBool::new(false),
+            watch_start: AtomicU64::new(0),
+            ended: AtomicBool::new(false),
+            writes: channel::bounded(1),
+        }
+    }
+
+    /// Uses the scheduler's state.
+    pub fn with<T>(&self, f: impl FnOnce(&mut Scheduler) -> T) -> T {
+        f(&mut self.scheduler.lock().expect("no holder panics"))
+    }
+
+    /// Whether the store's jobs are known.
+    #[must_use]
+    pub fn is_loaded(&self) -> bool {
+        self.loaded.load(Ordering::SeqCst) && !self.is_ended()
+    }
+
+    /// Notes that the store's jobs are known as of a revision.
+    pub fn set_loaded(&self, as_of: StoreRevision) {
+        self.watch_start.store(as_of.0, Ordering::SeqCst);
+        self.loaded.store(true, Ordering::SeqCst);
+    }
+
+    /// Revision from which on the jobs have to be watched.
+    #[must_use]
+    pub fn watch_start(&self) -> StoreRevision {
+        StoreRevision(self.watch_start.load(Ordering::SeqCst))
+    }
+
+    /// Whether another entry schedules, or nobody.
+    #[must_use]
+    pub fn is_ended(&self) -> bool {
+        self.ended.load(Ordering::SeqCst)
+    }
+
+    /// Ends the term.
+    pub fn end(&self, reason: &str) {
+        if !self.ended.swap(true, Ordering::SeqCst) {
+            log::warn!(term = self.owner.term, token = self.revision.0, reason = reason; "term ended");
+            self.view.set_term(None);
+        }
+        self.wake_writer();
+    }
+
+    /// Waits until something is to be written.
+    pub async fn wait_for_writes(&self) {
+        // The term holds the sender, so an error can't occur.
+        let _ = self.writes.1.recv().await;
+    }
+
+    fn wake_writer(&self) {
+        // A full channel holds a signal already.
+        let _ = self.writes.0.try_send(());
+    }
+
+    /// Adds a job that the store holds.
+    pub fn add_job(self: &Arc<Self>, job: &JobKey, record: JobRecord, created: u64) {
+        self.with(|s| match record {
+            JobRecord::Accepted(spec) => {
+                s.add_job(view::now(), job.clone(), spec, Progress::default(), created < self.revision.0);
+            }
+            JobRecord::Ended { queue, state, .. } => s.add_ended(job.clone(), queue, state),
+        });
+        self.advance();
+    }
+
+    /// Cancels a job whose mark is stored.
+    pub fn cancel_job(self: &Arc<Self>, job: &JobKey) {
+        self.with(|s| s.cancel_job(job));
+        self.advance();
+    }
+
+    /// Plans, and sends the orders that follow.
+    pub fn advance(self: &Arc<Self>) {
+        if self.is_ended() || !self.is_loaded() {
+            return;
+        }
+        let (orders, events, has_writes) = self.with(|s| {
+            s.plan(view::now());
+            (s.take_orders(), s.take_events(), s.has_writes())
+        });
+        for event in events {
+            log_event(&event);
+        }
+        for order in orders {
+            let term = Arc::clone(self);
+            task::spawn(async move { term.send(order).await });
+        }
+        if has_writes {
+            self.wake_writer();
+        }
+    }
+
+    async fn send(self: &Arc<Self>, order: Order) {
+        if self.is_ended() {
+            return;
+        }
+        let token = self.with(|s| s.token());
+        let (Order::Start(_) | Order::Stop { .. } | Order::Pace { .. }) = &order;
+        let worker = match &order {
+            Order::Start(start) => &start.worker,
+            Order::Stop { worker, .. } | Order::Pace { worker, .. } => worker,
+        };
+        let Some(address) = self.with(|s| s.worker(worker).map(|w| w.report.address)) else { return };
+        match order {
+            Order::Start(start) => {
+                let (answer, error) = self.workers.start(address, &start, token, ORDER_LIMIT).await;
+                let error = error.map(|e| e.to_string()).unwrap_or_default();
+                log::info!(task:% = start.task, run = start.run, worker:% = start.worker, lease_until = start.lease_until, answer:? = answer, error:% = error; "start");
+                let is_fenced = self.with(|s| s.take_start_answer(view::now().mono, &start.worker, &start.task, start.run, answer));
+                if is_fenced {
+                    self.end("a worker has seen a higher token");
+                } else if answer != carawaybarrow_core::sched::order::StartAnswer::Started {
+                    self.advance();
+                }
+            }
+            Order::Stop { worker, task, run, reason } => {
+                let taken = self.workers.stop(address, &worker, &task, run, token, ORDER_LIMIT).await;
+                self.log_order("stop", &task, run, &worker, reason, &taken);
+                self.with(|s| s.take_stop_answer(view::now().mono, &task, run, matches!(taken, Ok(Taken::Yes))));
+                self.check_fence(&taken);
+            }
+            Order::Pace { worker, task, run, percent } => {
+                let taken = self.workers.pace(address, &worker, &task, run, percent, token, ORDER_LIMIT).await;
+                self.log_order("pace", &task, run, &worker, &percent.to_string(), &taken);
+                self.with(|s| s.take_pace_answer(&task, run, matches!(taken, Ok(Taken::Yes))));
+                self.check_fence(&taken);
+            }
+        }
+    }
+
+    fn log_order(
+        &self,
+        order: &str,
+        task: &carawaybarrow_core::sched::graph::TaskName,
+        run: u32,
+        worker: &carawaybarrow_core::sched::graph::WorkerKey,
+        reason: &str,
+        taken: &Result<Taken, carawaybarrow_platform::store::StoreError>,
+    ) {
+        log::info!(task:% = task, run = run, worker:% = worker, reason = reason, answer:? = taken; "{order}");
+    }
+
+    fn check_fence(&self, taken: &Result<Taken, carawaybarrow_platform::store::StoreError>) {
+        if matches!(taken, Ok(Taken::Fenced)) {
+            self.end("a worker has seen a higher token");
+        }
+    }
+}
+
+fn log_event(event: &Event) {
+    match event {
+        Event::RunEnded { task, run, worker, kind } => {
+            log::info!(task:% = task, run = run, worker:% = worker, how:? = kind; "run ended");
+        }
+        Event::JobEnded { job, state } => log::info!(job:% = job, state:? = state; "job ended"),
+        Event::RunAdopted { task, run, worker } => {
+            log::info!(task:% = task, run = run, worker:% = worker; "run of an earlier term adopted");
+        }
+        Event::WorkerReborn { worker } => log::warn!(worker:% = worker; "worker lives anew, its runs are gone"),
+        Event::WorkerLapsed { worker, runs } => log::warn!(worker:% = worker, runs = runs; "leases of a silent worker have ended"),
+        Event::WorkerQuarantined { worker, failures } => {
+            log::warn!(worker:% = worker, failures = failures; "worker fails its tasks and gets no more for a while");
+        }
+        Event::Settled => log::info!("all runs of earlier terms are known"),
+    }
+}
--- /dev/null
+++ b/crates/carawaybarrow/src/node/waves.rs
@@ -0,0 +1,135 @@
+//! Takes VMs through the waves of upkeep that operators ask for.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use carawaybarrow_core::Set;
+use carawaybarrow_core::sched::upkeep::{VmAnswer, Wave};
+use carawaybarrow_platform::configuration::WAVE_PREFIX;
+use carawaybarrow_platform::store::{Change, StoreRevision};
+use carawaybarrow_platform::vms::{Holder, Vms, is_wave_complete, read_wave, wave_state_key, write_wave_state};
+
+use crate::node::records::SCHEDULER_KEY;
+use crate::node::term::Term;
+use crate::node::view;
+
+/// Time for an answer of the store.
+const STORE_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Time for an answer of the list of VMs.
+const LIST_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Time between looks for new waves.
+const IDLE_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Time between steps of a wave.
+const STEP_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Works on waves until the term ends.
+pub async fn run(term: Arc<Term>) {
+    let Some(address) = term.view.settings.vm_list else { return };
+    let vms = Vms::new(address, &term.view.settings.entry);
+    let holder = Holder { entry: term.owner.entry.clone(), token: term.revision.0 };
+    let began = view::now().mono;
+    let mut done: Set<u64> = Set::default();
+    let mut waves: Vec<Wave> = Vec::new();
+    // An earlier holder may have given orders until just now.
+    task::sleep(term.view.settings.bounds.order_lease.to_duration()).await;
+    log::info!(term = term.owner.term, after_ms = view::now().mono.since(began).0; "orders about VMs may be given");
+    while !term.is_ended() {
+        find_waves(&term, &mut waves, &done).await;
+        if waves.is_empty() {
+            task::sleep(IDLE_INTERVAL).await;
+            continue;
+        }
+        for wave in &mut waves {
+            if !advance(&term, &vms, &holder, wave).await {
+                return;
+            }
+            if wave.is_complete() && store_state(&term, wave.request.number, true).await {
+                done.insert(wave.request.number);
+            }
+        }
+        waves.retain(|w| !done.contains(&w.request.number));
+        task::sleep(STEP_INTERVAL).await;
+    }
+}
+
+async fn find_waves(term: &Arc<Term>, waves: &mut Vec<Wave>, done: &Set<u64>) {
+    let items = match term.view.store.list(WAVE_PREFIX, STORE_LIMIT).await {
+        Ok((items, _)) => items,
+        Err(e) => return log::info!(error:% = e; "no list of the waves"),
+    };
+    for item in items {
+        let Some(value) = &item.value else { continue };
+        let request = match read_wave(value) {
+            Ok(request) => request,
+            Err(e) => {
+                log::warn!(key:% = item.key, error:% = e; "a wave can't be read");
+                continue;
+            }
+        };
+        if done.contains(&request.number) || waves.iter().any(|w| w.request.number == request.number) {
+            continue;
+        }
+        match term.view.store.get(&wave_state_key(request.number), STORE_LIMIT).await {
+            Ok(Some(item)) if item.value.as_deref().is_some_and(is_wave_complete) => continue,
+            Ok(_) => {}
+            Err(e) => {
+                log::info!(wave = request.number, error:% = e; "state of a wave can't be read");
+                continue;
+            }
+        }
+        log::info!(wave = request.number, vms = request.vms.len(), ceiling = request.ceiling, within_ms = request.within.0; "wave taken up");
+        if store_state(term, request.number, false).await {
+            waves.push(Wave::new(request, view::now().mono));
+        }
+    }
+}
+
+async fn store_state(term: &Arc<Term>, number: u64, is_complete: bool) -> bool {
+    let (key, value) = write_wave_state(number, is_complete);
+    let change = Change {
+        expected: vec![(SCHEDULER_KEY.to_owned(), term.revision)],
+        puts: vec![(key, value, None)],
+        deletes: Vec::new(),
+    };
+    match term.view.store.change(&change, STORE_LIMIT).await {
+        Ok(carawaybarrow_platform::store::Changed::Done(StoreRevision(revision))) => {
+            log::info!(wave = number, complete = is_complete, revision = revision; "state of a wave stored");
+            true
+        }
+        answer => {
+            log::info!(wave = number, complete = is_complete, answer:? = answer; "state of a wave is not stored yet");
+            false
+        }
+    }
+}
+
+/// Takes one step. Returns whether the term may go on with orders.
+async fn advance(term: &Arc<Term>, vms: &Vms, holder: &Holder, wave: &mut Wave) -> bool {
+    let listed = match vms.list(LIST_LIMIT).await {
+        Ok(listed) => listed,
+        Err(e) => {
+            log::info!(wave = wave.request.number, error:% = e; "no list of the VMs");
+            return true;
+        }
+    };
+    let ready = term.with(|s| s.advance_wave(view::now().mono, wave, &listed));
+    term.advance();
+    for vm in ready {
+        if term.is_ended() {
+            return false;
+        }
+        let (answer, error) = vms.upkeep(holder, &vm, wave.request.number, LIST_LIMIT).await;
+        let error = error.map(|e| e.to_string()).unwrap_or_default();
+        log::info!(vm:% = vm, wave = wave.request.number, token = holder.token, answer:? = answer, error:% = error; "upkeep ordered");
+        term.with(|s| s.take_upkeep_answer(view::now().mono, wave, &vm, answer));
+        if answer == VmAnswer::Fenced {
+            term.end("the list of VMs has seen a higher token");
+            return false;
+        }
+    }
+    true
+}
--- /dev/null
+++ b/crates/carawaybarrow/src/node/writer.rs
@@ -0,0 +1,126 @@
+//! Stores the ends of jobs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use carawaybarrow_core::sched::graph::JobKey;
+use carawaybarrow_core::sched::scheduler::JobWrite;
+use carawaybarrow_platform::store::{Change, Changed, Item, MAX_ROWS, StoreRevision};
+
+use crate::node::records::{self, PROGRESS_PREFIX, SCHEDULER_KEY};
+use crate::node::term::Term;
+use crate::node::view;
+
+/// Time for an answer of the store.
+const STORE_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Pause after a failed write.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Rows that one job may need: a condition, a put and two deletions.
+const ROWS_PER_JOB: usize = 4;
+
+/// Jobs in one change; one row is the condition that the term goes on.
+const JOBS_PER_CHANGE: usize = (MAX_ROWS - 1) / ROWS_PER_JOB;
+
+/// Stores ends until the term is over.
+pub async fn run(term: Arc<Term>) {
+    loop {
+        term.wait_for_writes().await;
+        while !term.is_ended() && term.with(|s| s.has_writes()) {
+            if !store_some(&term).await {
+                task::sleep(RETRY_PAUSE).await;
+            }
+        }
+        if term.is_ended() {
+            return;
+        }
+    }
+}
+
+/// Stores what is left when a term ends by itself. What the store doesn't take the next scheduler learns from workers.
+pub async fn flush(term: &Arc<Term>) {
+    while term.with(|s| s.has_writes()) {
+        if !store_some(term).await {
+            return;
+        }
+    }
+}
+
+/// Stores the changes of some jobs. Returns whether the store took them.
+async fn store_some(term: &Arc<Term>) -> bool {
+    let writes = term.with(|s| s.take_writes(view::now(), JOBS_PER_CHANGE));
+    if writes.is_empty() {
+        return true;
+    }
+    let change = build_change(term, &writes);
+    match term.view.store.change(&change, STORE_LIMIT).await {
+        Ok(Changed::Done(revision)) => {
+            note_revisions(term, &writes, revision);
+            term.with(|s| {
+                for (job, version, _) in &writes {
+                    s.note_stored(job, *version);
+                }
+            });
+            return true;
+        }
+        Ok(Changed::Conflict(items)) => take_conflict(term, &items),
+        Ok(Changed::NoLease) => log::error!("the store names a missing lease for a write without one"),
+        Err(e) => log::info!(jobs = writes.len(), error:% = e; "ends are not stored yet"),
+    }
+    // A write without an answer may still be made. Its conditions keep it from undoing a later one.
+    term.with(|s| {
+        for (job, _, _) in &writes {
+            s.retry_write(job);
+        }
+    });
+    false
+}
+
+fn build_change(term: &Term, writes: &[(JobKey, u64, JobWrite)]) -> Change {
+    let revisions = term.progress_revisions.lock().expect("no holder panics");
+    let mut change = Change { expected: vec![(SCHEDULER_KEY.to_owned(), term.revision)], ..Change::default() };
+    for (job, _, write) in writes {
+        let revision = revisions.get(job).copied().unwrap_or(StoreRevision::ABSENT);
+        change.expected.push((records::progress_key(job), revision));
+        match write {
+            JobWrite::Progress(progress) => {
+                change.puts.push((records::progress_key(job), records::write(progress), None));
+            }
+            JobWrite::Ended(record) => {
+                change.puts.push((records::job_key(job), records::write(record), None));
+                if revision != StoreRevision::ABSENT {
+                    change.deletes.push(records::progress_key(job));
+                }
+            }
+        }
+    }
+    change
+}
+
+fn note_revisions(term: &Term, writes: &[(JobKey, u64, JobWrite)], revision: StoreRevision) {
+    let mut revisions = term.progress_revisions.lock().expect("no holder panics");
+    for (job, _, write) in writes {
+        match write {
+            JobWrite::Progress(_) => revisions.insert(job.clone(), revision),
+            JobWrite::Ended(_) => revisions.remove(job),
+        };
+    }
+}
+
+/// Learns the present revisions: an earlier write without an answer was made, or the term is over.
+fn take_conflict(term: &Term, items: &[Item]) {
+    for item in items {
+        if item.key == SCHEDULER_KEY {
+            if item.revision != term.revision {
+                term.end("another entry schedules");
+            }
+            continue;
+        }
+        let Some(job) = item.key.strip_prefix(PROGRESS_PREFIX) else { continue };
+        log::info!(job = job, revision = item.revision.0; "ends of a job have another revision");
+        let mut revisions = term.progress_revisions.lock().expect("no holder panics");
+        revisions.insert(JobKey::new(job), item.revision);
+    }
+}
--- a/crates/carawaybarrow/src/serve.rs
+++ b/crates/carawaybarrow/src/serve.rs
@@ -63,7 +63,7 @@
 ///
 /// Fails if an address can't be used.
 pub async fn serve(settings: Settings) -> Result<(), ServeError> {
-    let signals = listen_signals().context(SignalSnafu)?;
+    let signals = listen_signals(&[SIGTERM, SIGINT]).context(SignalSnafu)?;
     let metrics = Arc::new(Metrics::new()?);
     let (peer_address, peer_server) = peer::listen(settings.peers).await?;
     let callers = settings.callers;
@@ -120,8 +120,13 @@
     }
 }
 
-fn listen_signals() -> Result<channel::Receiver<i32>, std::io::Error> {
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+/// Receives signals.
+///
+/// # Errors
+///
+/// Fails if a handler can't be set.
+pub fn listen_signals(which: &[i32]) -> Result<channel::Receiver<i32>, std::io::Error> {
+    let mut signals = Signals::new(which)?;
     let (tx, rx) = channel::unbounded();
     std::thread::spawn(move || {
         for signal in signals.forever() {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -39,6 +39,7 @@
 mod report_row;
 pub mod retry;
 pub mod routing;
+pub mod sched;
 pub mod shares;
 pub mod units;
 mod vm;
--- /dev/null
+++ b/crates/core/src/sched/ends.rs
@@ -0,0 +1,292 @@
+//! What the lists of workers change: ends, adopted runs and runs that are gone.
+
+use crate::sched::graph::{JobKey, TaskName, WorkerKey};
+use crate::sched::job::{Phase, Run};
+use crate::sched::order::{EndKind, EndRow, Order, RunRow};
+use crate::sched::progress::JobState;
+use crate::sched::scheduler::{Event, ORDER_RETRY, Scheduler};
+use crate::units::{Millis, MonoTime};
+
+/// Time after which a stop without effect is ordered again.
+const STOP_RETRY: Millis = Millis(300);
+
+impl Scheduler {
+    /// Applies an end that a worker lists.
+    pub(super) fn apply_end(&mut self, now: MonoTime, worker: &WorkerKey, end: EndRow) {
+        let Some(known) = self.workers.get_mut(worker) else { return };
+        if !known.is_new_end(end.number) {
+            return;
+        }
+        let needs = self.end_run(now, worker, &end.task, end.run, end.kind, &end.checkpoint);
+        if let Some(known) = self.workers.get_mut(worker) {
+            known.note_end(end.number, needs);
+        }
+    }
+
+    /// Applies the end of a run. Returns the version of the job that must be stored before the end is forgotten.
+    fn end_run(
+        &mut self,
+        now: MonoTime,
+        worker: &WorkerKey,
+        name: &TaskName,
+        number: u32,
+        kind: EndKind,
+        checkpoint: &str,
+    ) -> Option<(JobKey, u64)> {
+        let removed = self.remove_run(name, number);
+        let job = self.jobs.get_mut(&name.job)?;
+        let step = job.spec.steps.get(name.step as usize)?;
+        let (is_lasting, is_gang) = (step.lasting, step.gang);
+        self.events.push(Event::RunEnded {
+            task: name.clone(),
+            run: number,
+            worker: worker.clone(),
+            kind,
+        });
+        let was_stopped = removed.is_some_and(|r| r.phase == Phase::Stopping);
+        let task = job.task_mut(name)?;
+        task.last_run = task.last_run.max(number);
+        if !checkpoint.is_empty() {
+            task.checkpoint = checkpoint.into();
+        }
+        let is_first = !task.failed_runs.contains(&number);
+        let is_counted = match kind {
+            EndKind::Done if !is_lasting => !task.is_done,
+            EndKind::Failed if !is_lasting => is_first && !task.is_done,
+            _ => false,
+        };
+        if let Some(known) = self.workers.get_mut(worker)
+            && !is_lasting
+        {
+            match kind {
+                EndKind::Done => known.note_success(),
+                EndKind::Failed if is_first && !was_stopped => {
+                    known.note_failure(now);
+                    if known.failures() >= 2 {
+                        let failures = known.failures();
+                        self.events.push(Event::WorkerQuarantined { worker: worker.clone(), failures });
+                    }
+                }
+                _ => {}
+            }
+        }
+        if !is_counted {
+            let key = name.job.clone();
+            self.retire_job(&key);
+            return None;
+        }
+        match kind {
+            EndKind::Done => self.note_done(name, is_gang),
+            _ => self.note_failed(name, number, worker),
+        }
+        let job = self.jobs.get_mut(&name.job)?;
+        if job.state == JobState::Queued {
+            job.state = JobState::Running;
+        }
+        job.version += 1;
+        let key = name.job.clone();
+        self.mark_dirty(&key);
+        self.finish_if_complete(&key);
+        self.stop_unwanted(&key);
+        let version = self.jobs.get(&key).map(|j| j.version)?;
+        Some((key, version))
+    }
+
+    fn note_done(&mut self, name: &TaskName, is_gang: bool) {
+        let Some(job) = self.jobs.get_mut(&name.job) else { return };
+        let Some(occurrence) = job.occurrences.get_mut(name.occurrence as usize) else { return };
+        let Some(step) = occurrence.steps.get_mut(name.step as usize) else { return };
+        for (index, task) in step.tasks.iter_mut().enumerate() {
+            // The members of a gang end well together, and one such end stands for all of them.
+            if (is_gang || index == name.index as usize) && !task.is_done {
+                task.is_done = true;
+                step.done += 1;
+            }
+        }
+    }
+
+    fn note_failed(&mut self, name: &TaskName, number: u32, worker: &WorkerKey) {
+        let Some(job) = self.jobs.get(&name.job) else { return };
+        let most = self.queue_policy(&job.spec.queue).max_attempts.max(1) as usize;
+        let Some(task) = self.jobs.get_mut(&name.job).and_then(|j| j.task_mut(name)) else { return };
+        task.failed_runs.push(number);
+        if !task.avoid.contains(worker) {
+            task.avoid.push(worker.clone());
+        }
+        if task.failed_runs.len() >= most {
+            self.end_job(&name.job, JobState::Failed);
+        }
+    }
+
+    /// Applies a run that a worker lists.
+    pub(super) fn apply_row(&mut self, now: MonoTime, worker: &WorkerKey, row: RunRow) {
+        let Some(task) = self.jobs.get_mut(&row.task.job).and_then(|j| j.task_mut(&row.task)) else {
+            // No job of the store wants it: it is left from a job that has ended.
+            self.orders.push(Order::Stop {
+                worker: worker.clone(),
+                task: row.task,
+                run: row.run,
+                reason: "no such job",
+            });
+            return;
+        };
+        let is_new = !task.runs.iter().any(|r| r.number == row.run);
+        if is_new {
+            self.adopt_run(now, worker, &row);
+        }
+        let Some(job) = self.jobs.get_mut(&row.task.job) else { return };
+        if job.state == JobState::Queued {
+            job.state = JobState::Running;
+        }
+        let Some(task) = job.task_mut(&row.task) else { return };
+        if !row.checkpoint.is_empty() {
+            task.checkpoint = row.checkpoint;
+        }
+        if let Some(run) = task.runs.iter_mut().find(|r| r.number == row.run) {
+            if matches!(run.phase, Phase::Starting | Phase::Unclear) {
+                run.phase = Phase::Running;
+                run.known_at = run.known_at.min(now);
+                run.advanced = now;
+            }
+            if row.percent > run.percent {
+                run.advanced = now;
+            }
+            run.percent = row.percent;
+            run.reading = row.reading;
+        }
+        if is_new {
+            let key = row.task.job;
+            self.stop_unwanted(&key);
+        }
+    }
+
+    fn adopt_run(&mut self, now: MonoTime, worker: &WorkerKey, row: &RunRow) {
+        self.events.push(Event::RunAdopted { task: row.task.clone(), run: row.run, worker: worker.clone() });
+        let run = Run {
+            number: row.run,
+            worker: worker.clone(),
+            phase: Phase::Running,
+            since: now,
+            known_at: now,
+            ordered: now,
+            in_flight: false,
+            percent: row.percent,
+            advanced: now,
+            pace: 100,
+            reading: row.reading,
+        };
+        self.add_run(&row.task, run);
+    }
+
+    /// Removes the runs of a worker that are gone.
+    pub(super) fn drop_runs(&mut self, now: MonoTime, worker: &WorkerKey, is_gone: impl Fn((&TaskName, &Run)) -> bool) {
+        let Some(known) = self.workers.get(worker) else { return };
+        let names: Vec<(TaskName, u32)> = known.runs.iter().map(|(name, run)| (name.clone(), *run)).collect();
+        for (name, number) in names {
+            let run = self.jobs.get(&name.job).and_then(|j| j.task(&name)).and_then(|t| t.runs.iter().find(|r| r.number == number));
+            match run {
+                Some(run) if !is_gone((&name, run)) => {}
+                Some(_) => {
+                    let _ = self.end_run(now, worker, &name, number, EndKind::Lapsed, "");
+                }
+                None => {
+                    if let Some(known) = self.workers.get_mut(worker) {
+                        known.runs.remove(&name);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Orders stops for runs of a job that nobody wants any more.
+    pub(super) fn stop_unwanted(&mut self, key: &JobKey) {
+        let Some(job) = self.jobs.get(key) else { return };
+        let mut unwanted = Vec::new();
+        for (o, occurrence) in job.occurrences.iter().enumerate() {
+            for (s, step) in occurrence.steps.iter().enumerate() {
+                let speculative = job.spec.steps.get(s).is_some_and(|s| s.speculative);
+                for (i, task) in step.tasks.iter().enumerate().filter(|(_, t)| !t.runs.is_empty()) {
+                    let reason = if job.state == JobState::Cancelled {
+                        "job cancelled"
+                    } else if job.state.is_final() {
+                        "job ended"
+                    } else if task.is_done {
+                        "task done"
+                    } else if task.runs.len() > 1 && !speculative {
+                        "second run"
+                    } else {
+                        continue;
+                    };
+                    let kept = if reason == "second run" { task.runs.first().map(|r| r.number) } else { None };
+                    let number = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+                    let name = TaskName { job: key.clone(), occurrence: number(o), step: number(s), index: number(i) };
+                    for run in task.runs.iter().filter(|r| r.phase != Phase::Stopping && Some(r.number) != kept) {
+                        unwanted.push((name.clone(), run.number, reason));
+                    }
+                }
+            }
+        }
+        for (name, number, reason) in unwanted {
+            self.order_stop(self.clock, &name, number, reason);
+        }
+    }
+
+    /// Orders a stop of a run.
+    pub(super) fn order_stop(&mut self, now: MonoTime, name: &TaskName, number: u32, reason: &'static str) {
+        let Some(task) = self.jobs.get_mut(&name.job).and_then(|j| j.task_mut(name)) else { return };
+        let Some(run) = task.runs.iter_mut().find(|r| r.number == number) else { return };
+        if run.phase != Phase::Stopping {
+            run.phase = Phase::Stopping;
+            // Until the stop is answered, a list that does not name the run says nothing.
+            if run.known_at == MonoTime(u64::MAX) || run.in_flight {
+                run.known_at = MonoTime(u64::MAX);
+            }
+        }
+        run.ordered = run.ordered.max(now);
+        run.in_flight = true;
+        let worker = run.worker.clone();
+        self.orders.push(Order::Stop { worker, task: name.clone(), run: number, reason });
+    }
+
+    /// Repeats orders that got no answer, and gives up the runs of workers whose leases have ended.
+    pub(super) fn review_runs(&mut self, now: MonoTime) {
+        let keys: Vec<WorkerKey> = self.workers.keys().cloned().collect();
+        for key in keys {
+            let Some(worker) = self.workers.get(&key) else { continue };
+            if worker.runs.is_empty() {
+                continue;
+            }
+            if !worker.is_reachable(now) {
+                if worker.has_lapsed(now) && (worker.is_fenced || self.is_settled()) {
+                    let runs = worker.runs.len();
+                    self.drop_runs(now, &key, |_| true);
+                    self.events.push(Event::WorkerLapsed { worker: key, runs });
+                }
+                continue;
+            }
+            self.repeat_orders(now, &key);
+        }
+    }
+
+    fn repeat_orders(&mut self, now: MonoTime, worker: &WorkerKey) {
+        let Some(known) = self.workers.get(worker) else { return };
+        let names: Vec<(TaskName, u32)> = known.runs.iter().map(|(name, run)| (name.clone(), *run)).collect();
+        for (name, number) in names {
+            let run = self.jobs.get(&name.job).and_then(|j| j.task(&name)).and_then(|t| t.runs.iter().find(|r| r.number == number));
+            let Some(run) = run else { continue };
+            if run.in_flight {
+                continue;
+            }
+            match run.phase {
+                Phase::Starting if now.since(run.ordered) >= ORDER_RETRY => self.order_start(now, &name, number),
+                Phase::Stopping if now.since(run.ordered) >= STOP_RETRY + self.bounds.stop_limit => {
+                    self.order_stop(now, &name, number, "no end after a stop");
+                }
+                Phase::Stopping if run.known_at == MonoTime(u64::MAX) && now.since(run.ordered) >= STOP_RETRY => {
+                    self.order_stop(now, &name, number, "no answer to a stop");
+                }
+                _ => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/sched/job.rs
@@ -0,0 +1,270 @@
+//! A job, its tasks and their runs as the scheduler knows them.
+
+use smol_str::SmolStr;
+
+use crate::sched::graph::{JobKey, JobSpec, Resources, TaskName, WorkerKey};
+use crate::sched::progress::{DoneTasks, FailedRuns, JobState, Progress};
+use crate::units::{Millis, MonoTime, WallTime};
+
+/// Where a run stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// The start was sent; its answer is open.
+    Starting,
+    /// The worker has it, or had it.
+    Running,
+    /// The start was refused as old: the worker's lists tell whether it ran.
+    Unclear,
+    /// A stop was ordered.
+    Stopping,
+}
+
+/// A run of a task that is or may be on a worker.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Number.
+    pub number: u32,
+    /// Worker.
+    pub worker: WorkerKey,
+    /// Where it stands.
+    pub phase: Phase,
+    /// Time of the first order.
+    pub since: MonoTime,
+    /// Time from which on a list of the worker must name it.
+    pub known_at: MonoTime,
+    /// Time at which the last order about it was sent.
+    pub ordered: MonoTime,
+    /// Whether an order about it is on its way.
+    pub in_flight: bool,
+    /// Progress in percent.
+    pub percent: u64,
+    /// Time of the last progress.
+    pub advanced: MonoTime,
+    /// Pace that was last ordered, in percent.
+    pub pace: u8,
+    /// Last reading: tail latency in ms of a task that serves, CPU of any other.
+    pub reading: Option<u64>,
+}
+
+/// A task.
+#[derive(Clone, Debug, Default)]
+pub struct Task {
+    /// It has ended well.
+    pub is_done: bool,
+    /// Runs that failed.
+    pub failed_runs: Vec<u32>,
+    /// Highest run number that was used.
+    pub last_run: u32,
+    /// Last checkpoint; empty if there is none.
+    pub checkpoint: SmolStr,
+    /// Runs that are or may be on workers.
+    pub runs: Vec<Run>,
+    /// Workers on which it failed or stood still.
+    pub avoid: Vec<WorkerKey>,
+    /// Time at which it was last at work.
+    pub away_since: Option<MonoTime>,
+}
+
+impl Task {
+    /// Whether a first or another run is wanted.
+    #[must_use]
+    pub fn is_waiting(&self) -> bool {
+        !self.is_done && self.runs.is_empty()
+    }
+}
+
+/// Tasks of a step.
+#[derive(Clone, Debug)]
+pub struct StepState {
+    /// Tasks.
+    pub tasks: Vec<Task>,
+    /// Number of tasks that are done.
+    pub done: usize,
+}
+
+impl StepState {
+    /// Whether all tasks are done.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.done == self.tasks.len()
+    }
+}
+
+/// One occurrence of a job.
+#[derive(Clone, Debug)]
+pub struct Occurrence {
+    /// Steps.
+    pub steps: Vec<StepState>,
+    /// Time from which its objective counts.
+    pub due: MonoTime,
+}
+
+/// A job.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Key.
+    pub key: JobKey,
+    /// As accepted.
+    pub spec: JobSpec,
+    /// Occurrences that are due, by number.
+    pub occurrences: Vec<Occurrence>,
+    /// State; a final one is shown once it is stored.
+    pub state: JobState,
+    /// It was accepted before this term, so an earlier scheduler may have started its tasks.
+    pub is_inherited: bool,
+    /// It was cancelled.
+    pub is_cancelled: bool,
+    /// Version of the progress; it rises with each end that counts.
+    pub version: u64,
+    /// Version that the store holds.
+    pub stored: u64,
+    /// Time of the objective for the whole chain.
+    pub objective: Millis,
+    stored_progress: Progress,
+}
+
+impl Job {
+    /// A job with what the store holds of it.
+    #[must_use]
+    pub fn new(key: JobKey, spec: JobSpec, progress: Progress) -> Self {
+        Self {
+            key,
+            spec,
+            occurrences: Vec::new(),
+            state: if progress == Progress::default() { JobState::Queued } else { JobState::Running },
+            is_inherited: false,
+            is_cancelled: false,
+            version: 0,
+            stored: 0,
+            objective: Millis(0),
+            stored_progress: progress,
+        }
+    }
+
+    /// Adds the occurrences that are due.
+    pub fn add_due(&mut self, now: MonoTime, wall: WallTime) {
+        while (self.occurrences.len() as u64) < u64::from(self.spec.times()) {
+            let number = u32::try_from(self.occurrences.len()).unwrap_or(u32::MAX);
+            let due = self.spec.due(number);
+            // Ends that are stored must stay in the progress even if the clock has gone back since.
+            let has_ends = self.stored_progress.done.iter().any(|d| d.occurrence >= number)
+                || self.stored_progress.failed.iter().any(|f| f.occurrence >= number);
+            if self.spec.schedule.is_some() && due > wall && !has_ends {
+                return;
+            }
+            let due = now - Millis(wall.since(due).0.min(MAX_AGE.0));
+            self.push_occurrence(number, due);
+        }
+    }
+
+    fn push_occurrence(&mut self, number: u32, due: MonoTime) {
+        let new_step = |count: u32| StepState { tasks: vec![Task::default(); count as usize], done: 0 };
+        let mut steps: Vec<_> = self.spec.steps.iter().map(|s| new_step(s.count)).collect();
+        for done in self.stored_progress.done.iter().filter(|d| d.occurrence == number) {
+            let Some(step) = steps.get_mut(done.step as usize) else { continue };
+            for &index in &done.tasks {
+                if let Some(task) = step.tasks.get_mut(index as usize)
+                    && !task.is_done
+                {
+                    task.is_done = true;
+                    step.done += 1;
+                }
+            }
+        }
+        for failed in self.stored_progress.failed.iter().filter(|f| f.occurrence == number) {
+            let task = steps.get_mut(failed.step as usize).and_then(|s| s.tasks.get_mut(failed.task as usize));
+            if let Some(task) = task {
+                task.last_run = failed.runs.iter().copied().max().unwrap_or(0);
+                task.failed_runs.clone_from(&failed.runs);
+            }
+        }
+        self.occurrences.push(Occurrence { steps, due });
+    }
+
+    /// Time of the next occurrence that is not yet due.
+    #[must_use]
+    pub fn next_due(&self) -> Option<WallTime> {
+        let next = u32::try_from(self.occurrences.len()).ok()?;
+        (next < self.spec.times()).then(|| self.spec.due(next))
+    }
+
+    /// A task by name.
+    #[must_use]
+    pub fn task(&self, name: &TaskName) -> Option<&Task> {
+        let occurrence = self.occurrences.get(name.occurrence as usize)?;
+        occurrence.steps.get(name.step as usize)?.tasks.get(name.index as usize)
+    }
+
+    /// A task by name.
+    pub fn task_mut(&mut self, name: &TaskName) -> Option<&mut Task> {
+        let occurrence = self.occurrences.get_mut(name.occurrence as usize)?;
+        occurrence.steps.get_mut(name.step as usize)?.tasks.get_mut(name.index as usize)
+    }
+
+    /// What a task of a step takes.
+    #[must_use]
+    pub fn reserved(&self, step: u32) -> Resources {
+        self.spec.steps.get(step as usize).map(crate::sched::graph::Step::reserved).unwrap_or_default()
+    }
+
+    /// Whether all tasks of all occurrences are done.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.occurrences.len() as u64 == u64::from(self.spec.times())
+            && self.occurrences.iter().all(|o| o.steps.iter().all(StepState::is_done))
+    }
+
+    /// Whether its tasks run until it is cancelled.
+    #[must_use]
+    pub fn is_lasting(&self) -> bool {
+        self.spec.steps.iter().any(|s| s.lasting)
+    }
+
+    /// Whether a step may run: all steps before it are done.
+    #[must_use]
+    pub fn is_step_ready(&self, occurrence: usize, step: usize) -> bool {
+        let Some(occurrence) = self.occurrences.get(occurrence) else { return false };
+        let Some(spec) = self.spec.steps.get(step) else { return false };
+        spec.after.iter().all(|&before| occurrence.steps.get(before).is_some_and(StepState::is_done))
+    }
+
+    /// Longest chain of estimates that is still to run.
+    #[must_use]
+    pub fn remaining_chain(&self, occurrence: usize) -> Millis {
+        let Some(state) = self.occurrences.get(occurrence) else { return Millis(0) };
+        let mut ends: Vec<u64> = Vec::with_capacity(self.spec.steps.len());
+        for (step, progress) in self.spec.steps.iter().zip(&state.steps) {
+            let start = step.after.iter().filter_map(|&i| ends.get(i)).max().copied().unwrap_or(0);
+            ends.push(start + if progress.is_done() { 0 } else { step.estimate.0 });
+        }
+        Millis(ends.into_iter().max().unwrap_or(0))
+    }
+
+    /// What the store has to keep.
+    #[must_use]
+    pub fn progress(&self) -> Progress {
+        let mut progress = Progress::default();
+        for (o, occurrence) in self.occurrences.iter().enumerate() {
+            for (s, step) in occurrence.steps.iter().enumerate() {
+                let number = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+                let tasks: Vec<u32> =
+                    step.tasks.iter().enumerate().filter(|(_, t)| t.is_done).map(|(i, _)| number(i)).collect();
+                if !tasks.is_empty() {
+                    progress.done.push(DoneTasks { occurrence: number(o), step: number(s), tasks });
+                }
+                for (i, task) in step.tasks.iter().enumerate().filter(|(_, t)| !t.failed_runs.is_empty()) {
+                    progress.failed.push(FailedRuns {
+                        occurrence: number(o),
+                        step: number(s),
+                        task: number(i),
+                        runs: task.failed_runs.clone(),
+                    });
+                }
+            }
+        }
+        progress
+    }
+}
+
+/// Oldest age that a job's acceptance counts; clocks may jump, and an older job is late anyway.
+const MAX_AGE: Millis = Millis::from_secs(60);
--- /dev/null
+++ b/crates/core/src/sched/mod.rs
@@ -0,0 +1,17 @@
+//! Scheduling of job graphs on leased workers, without I/O.
+//!
+//! One scheduler owns all pools for the length of its term. It learns what runs from the workers' own lists, writes
+//! ends to the store before workers may forget them, and numbers its orders with a fencing token.
+
+pub mod graph;
+pub mod job;
+pub mod order;
+pub mod pacing;
+pub mod policy;
+pub mod progress;
+pub mod scheduler;
+pub mod upkeep;
+pub mod worker;
+
+mod ends;
+mod plan;
--- /dev/null
+++ b/crates/core/src/sched/plan.rs
@@ -0,0 +1,307 @@
+//! Placement: which waiting task starts on which worker.
+
+use crate::map::Map;
+use crate::sched::graph::{JobKey, PoolName, Resources, Step, TaskName, WorkerKey};
+use crate::sched::job::{Job, Phase, Run};
+use crate::sched::order::{Order, Start};
+use crate::sched::scheduler::{Now, Scheduler};
+use crate::units::{Millis, MonoTime};
+
+/// Objectives after which a job earns nothing any more, as a factor; later jobs wait for the others.
+const LATE_FACTOR: u64 = 3;
+
+/// Place of a job in the order of starts; lower comes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    /// Tasks that serve users come first, then the others.
+    is_batch: bool,
+    /// Priority of the queue.
+    priority: u32,
+    /// 0 can meet its objective, 1 ends late, 2 is too late to be of use.
+    lateness: u8,
+    /// Time at which the objective ends.
+    deadline: MonoTime,
+}
+
+/// A worker that takes tasks, with the room that the plan has not given yet.
+#[derive(Clone, Debug)]
+struct Slot {
+    worker: WorkerKey,
+    free: Resources,
+    failures: u32,
+    serving: u32,
+    filling: u32,
+}
+
+/// Steps with waiting tasks, in the order in which they are placed.
+type Candidates = Vec<(Rank, JobKey, usize, usize)>;
+
+impl Scheduler {
+    /// Starts waiting tasks where there is room.
+    pub fn plan(&mut self, now: Now) {
+        self.clock = now.mono;
+        let mut by_pool: Map<PoolName, Candidates> = Map::default();
+        for (key, job) in &self.jobs {
+            if job.state.is_final() || (job.is_inherited && !self.is_settled()) {
+                continue;
+            }
+            self.collect_candidates(now, key, job, &mut by_pool);
+        }
+        for (pool, mut candidates) in by_pool {
+            candidates.sort();
+            let mut slots = self.open_slots(now.mono, &pool);
+            for (_, key, occurrence, step) in candidates {
+                if slots.is_empty() {
+                    break;
+                }
+                self.place_step(now.mono, &mut slots, &key, occurrence, step);
+            }
+        }
+    }
+
+    fn collect_candidates(&self, now: Now, key: &JobKey, job: &Job, by_pool: &mut Map<PoolName, Candidates>) {
+        for (number, occurrence) in job.occurrences.iter().enumerate() {
+            for (s, step) in occurrence.steps.iter().enumerate() {
+                if step.is_done() || !job.is_step_ready(number, s) || !step.tasks.iter().any(|t| t.is_waiting()) {
+                    continue;
+                }
+                let deadline = occurrence.due + job.objective;
+                let end = now.mono + job.remaining_chain(number);
+                let lateness = if end <= deadline {
+                    0
+                } else if end <= occurrence.due + Millis(job.objective.0 * LATE_FACTOR) {
+                    1
+                } else {
+                    2
+                };
+                let spec = &job.spec.steps[s];
+                let is_lasting = spec.lasting;
+                let priority = self.policy.queues.get(&job.spec.queue).map_or(1, |q| q.priority);
+                let rank = Rank {
+                    is_batch: !is_lasting,
+                    priority: if is_lasting { u32::from(spec.fills) } else { priority },
+                    lateness: if is_lasting { 0 } else { lateness },
+                    deadline,
+                };
+                by_pool.entry(self.pool_of(&job.spec).clone()).or_default().push((rank, key.clone(), number, s));
+            }
+        }
+    }
+
+    fn open_slots(&self, now: MonoTime, pool: &PoolName) -> Vec<Slot> {
+        let workers = self.workers.values().filter(|w| w.report.pool == *pool && w.takes_tasks(now));
+        let mut slots: Vec<Slot> = workers
+            .map(|w| {
+                let (serving, filling) = self.count_lasting(&w.report.key);
+                Slot { worker: w.report.key.clone(), free: w.free(), failures: w.failures(), serving, filling }
+            })
+            .collect();
+        slots.sort_by(|a, b| a.worker.cmp(&b.worker));
+        slots
+    }
+
+    /// Tasks that serve and tasks that fill on a worker.
+    pub(super) fn count_lasting(&self, worker: &WorkerKey) -> (u32, u32) {
+        let Some(worker) = self.workers.get(worker) else { return (0, 0) };
+        let (mut serving, mut filling) = (0, 0);
+        for name in worker.runs.keys() {
+            if let Some(step) = self.step_of(name) {
+                serving += u32::from(step.target.is_some());
+                filling += u32::from(step.fills);
+            }
+        }
+        (serving, filling)
+    }
+
+    pub(super) fn step_of(&self, name: &TaskName) -> Option<&Step> {
+        self.jobs.get(&name.job)?.spec.steps.get(name.step as usize)
+    }
+
+    fn place_step(&mut self, now: MonoTime, slots: &mut Vec<Slot>, key: &JobKey, occurrence: usize, step: usize) {
+        let Some(job) = self.jobs.get(key) else { return };
+        let Some(spec) = job.spec.steps.get(step).cloned() else { return };
+        if spec.gang {
+            self.place_gang(now, slots, key, occurrence, step, &spec);
+            return;
+        }
+        let tasks = &job.occurrences[occurrence].steps[step].tasks;
+        let waiting: Vec<usize> = tasks.iter().enumerate().filter(|(_, t)| t.is_waiting()).map(|(i, _)| i).collect();
+        let mut counts = self.count_on_workers(key, occurrence, step);
+        for index in waiting {
+            if !self.has_team_room(key, &spec) {
+                return;
+            }
+            let name = task_name(key, occurrence, step, index);
+            let Some(at) = self.choose_slot(slots, &spec, &name, &counts) else {
+                if spec.lasting {
+                    // Room that comes free on this worker is kept for the task instead of going to smaller ones.
+                    reserve_slot(slots, &spec);
+                    continue;
+                }
+                return;
+            };
+            let worker = slots[at].worker.clone();
+            slots[at].free -= spec.reserved();
+            slots[at].serving += u32::from(spec.target.is_some());
+            slots[at].filling += u32::from(spec.fills);
+            *counts.entry(worker.clone()).or_default() += 1;
+            self.start_run(now, &name, &worker, None);
+        }
+    }
+
+    /// Places all tasks of a gang, or none.
+    fn place_gang(&mut self, now: MonoTime, slots: &mut Vec<Slot>, key: &JobKey, occurrence: usize, step: usize, spec: &Step) {
+        let Some(job) = self.jobs.get(key) else { return };
+        let tasks = &job.occurrences[occurrence].steps[step].tasks;
+        if tasks.iter().any(|t| !t.is_waiting()) || !self.has_team_room_for(key, spec, tasks.len() as u64) {
+            return;
+        }
+        let last_run = tasks.iter().map(|t| t.last_run).max().unwrap_or(0);
+        let size = tasks.len();
+        let mut racks: Vec<Option<smol_str::SmolStr>> = Vec::new();
+        if spec.one_rack {
+            for slot in slots.iter() {
+                let rack = self.workers.get(&slot.worker).and_then(|w| w.rack().cloned());
+                if !racks.contains(&rack) {
+                    racks.push(rack);
+                }
+            }
+        }
+        // Without room on one rack the gang runs slower on several.
+        let attempts = racks.into_iter().map(Some).chain([None]);
+        for rack in attempts {
+            let mut trial = slots.clone();
+            if let Some(rack) = &rack {
+                trial.retain(|s| self.workers.get(&s.worker).is_some_and(|w| w.rack() == rack.as_ref()));
+            }
+            let mut counts = Map::default();
+            let mut chosen = Vec::with_capacity(size);
+            for index in 0..size {
+                let name = task_name(key, occurrence, step, index);
+                let Some(at) = self.choose_slot(&trial, spec, &name, &counts) else { break };
+                let worker = trial[at].worker.clone();
+                trial[at].free -= spec.reserved();
+                *counts.entry(worker.clone()).or_insert(0u32) += 1;
+                chosen.push((name, worker));
+            }
+            if chosen.len() == size {
+                for (name, worker) in chosen {
+                    if let Some(slot) = slots.iter_mut().find(|s| s.worker == worker) {
+                        slot.free -= spec.reserved();
+                    }
+                    self.start_run(now, &name, &worker, Some(last_run));
+                }
+                return;
+            }
+        }
+    }
+
+    /// Runs of a step by worker.
+    fn count_on_workers(&self, key: &JobKey, occurrence: usize, step: usize) -> Map<WorkerKey, u32> {
+        let mut counts = Map::default();
+        let Some(state) = self.jobs.get(key).and_then(|j| j.occurrences.get(occurrence)).and_then(|o| o.steps.get(step)) else {
+            return counts;
+        };
+        for run in state.tasks.iter().flat_map(|t| &t.runs) {
+            *counts.entry(run.worker.clone()).or_insert(0) += 1;
+        }
+        counts
+    }
+
+    fn choose_slot(&self, slots: &[Slot], spec: &Step, name: &TaskName, counts: &Map<WorkerKey, u32>) -> Option<usize> {
+        let avoid = self.jobs.get(&name.job).and_then(|j| j.task(name)).map(|t| t.avoid.as_slice()).unwrap_or_default();
+        let size = spec.reserved();
+        let fits = |slot: &Slot| {
+            let on_worker = counts.get(&slot.worker).copied().unwrap_or(0);
+            let has_label = spec
+                .required_label
+                .as_ref()
+                .is_none_or(|l| self.workers.get(&slot.worker).is_some_and(|w| w.has_label(l)));
+            size.fits(&slot.free) && spec.max_per_worker.is_none_or(|most| on_worker < most) && has_label
+        };
+        let score = |slot: &Slot| {
+            let is_far = spec
+                .data_rack
+                .as_ref()
+                .is_some_and(|rack| self.workers.get(&slot.worker).is_none_or(|w| !w.has_label(rack)));
+            let neighbours = if spec.fills { slot.serving } else if spec.target.is_some() { slot.filling } else { 0 };
+            let is_avoided = avoid.contains(&slot.worker);
+            (is_avoided, slot.failures.min(8), is_far, neighbours, u64::MAX - slot.free.cpu)
+        };
+        let candidates = slots.iter().enumerate().filter(|(_, slot)| fits(slot));
+        candidates.min_by_key(|(_, slot)| score(slot)).map(|(at, _)| at)
+    }
+
+    fn has_team_room(&self, key: &JobKey, spec: &Step) -> bool {
+        self.has_team_room_for(key, spec, 1)
+    }
+
+    /// Whether a team may start `count` more tasks of a step.
+    fn has_team_room_for(&self, key: &JobKey, spec: &Step, count: u64) -> bool {
+        let Some(team) = self.jobs.get(key).and_then(|j| j.spec.team.as_ref()) else { return true };
+        let Some(policy) = self.policy.teams.get(team) else { return true };
+        let used = self.teams.get(team).copied().unwrap_or_default();
+        let size = spec.reserved();
+        let is_below = |used: u64, size: u64, ceiling: u64| ceiling == 0 || used + size * count <= ceiling;
+        let ceiling = &policy.ceiling;
+        is_below(used.cpu, size.cpu, ceiling.cpu)
+            && is_below(used.memory_mb, size.memory_mb, ceiling.memory_mb)
+            && is_below(used.accelerators, size.accelerators, ceiling.accelerators)
+    }
+
+    /// Adds a run and orders its start. `after_run` is the highest number used by the members of a gang.
+    pub(super) fn start_run(&mut self, now: MonoTime, name: &TaskName, worker: &WorkerKey, after_run: Option<u32>) {
+        let Some(task) = self.jobs.get(&name.job).and_then(|j| j.task(name)) else { return };
+        let number = after_run.unwrap_or(task.last_run).saturating_add(1).max(self.first_run);
+        let run = Run {
+            number,
+            worker: worker.clone(),
+            phase: Phase::Starting,
+            since: now,
+            known_at: MonoTime(u64::MAX),
+            ordered: now,
+            in_flight: false,
+            percent: 0,
+            advanced: now,
+            pace: 100,
+            reading: None,
+        };
+        self.add_run(name, run);
+        self.order_start(now, name, number);
+    }
+
+    /// Orders the start of a run, the first time or again.
+    pub(super) fn order_start(&mut self, now: MonoTime, name: &TaskName, number: u32) {
+        let lease = self.lease_length();
+        let payload = self.payload_of(name);
+        let Some(task) = self.jobs.get_mut(&name.job).and_then(|j| j.task_mut(name)) else { return };
+        let checkpoint = task.checkpoint.clone();
+        let Some(run) = task.runs.iter_mut().find(|r| r.number == number) else { return };
+        let Some(lease_until) = self.workers.get_mut(&run.worker).and_then(|w| w.extend_lease(now, lease)) else { return };
+        run.ordered = now;
+        run.in_flight = true;
+        let start = Start {
+            worker: run.worker.clone(),
+            task: name.clone(),
+            run: number,
+            payload,
+            lease_until,
+            checkpoint,
+            ticket: None,
+        };
+        self.orders.push(Order::Start(start));
+    }
+}
+
+/// Takes the room of the emptiest worker out of the plan.
+fn reserve_slot(slots: &mut Vec<Slot>, spec: &Step) {
+    let emptiest = slots.iter().enumerate().max_by_key(|(_, s)| s.free.cpu.min(spec.size.cpu)).map(|(at, _)| at);
+    if let Some(at) = emptiest {
+        slots.remove(at);
+    }
+}
+
+pub(super) fn task_name(job: &JobKey, occurrence: usize, step: usize, index: usize) -> TaskName {
+    let number = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+    TaskName { job: job.clone(), occurrence: number(occurrence), step: number(step), index: number(index) }
+}
--- /dev/null
+++ b/crates/core/src/sched/progress.rs
@@ -0,0 +1,83 @@
+//! What the store keeps of a job.
+
+use serde::{Deserialize, Serialize};
+
+use crate::sched::graph::{JobSpec, QueueName, TeamName};
+use crate::units::WallTime;
+
+/// State of a job as callers see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum JobState {
+    /// No task has started.
+    Queued,
+    /// A task has started.
+    Running,
+    /// All tasks are done.
+    Completed,
+    /// A task failed too often.
+    Failed,
+    /// Its caller cancelled it.
+    Cancelled,
+}
+
+impl JobState {
+    /// Whether the state stays for good.
+    #[must_use]
+    pub const fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
+    }
+}
+
+/// Record of a job in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "record", rename_all = "snake_case")]
+pub enum JobRecord {
+    /// It may still run.
+    Accepted(JobSpec),
+    /// It has ended.
+    Ended {
+        /// Queue.
+        queue: QueueName,
+        /// Team.
+        team: Option<TeamName>,
+        /// State.
+        state: JobState,
+        /// Time of the end.
+        at: WallTime,
+    },
+}
+
+/// Tasks of one step of one occurrence that are done.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DoneTasks {
+    /// Occurrence.
+    pub occurrence: u32,
+    /// Step.
+    pub step: u32,
+    /// Numbers within the step.
+    pub tasks: Vec<u32>,
+}
+
+/// Runs of one task that failed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FailedRuns {
+    /// Occurrence.
+    pub occurrence: u32,
+    /// Step.
+    pub step: u32,
+    /// Number within the step.
+    pub task: u32,
+    /// Numbers of the runs.
+    pub runs: Vec<u32>,
+}
+
+/// Ends of a job that must not be forgotten.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Progress {
+    /// Done tasks.
+    pub done: Vec<DoneTasks>,
+    /// Failed runs.
+    pub failed: Vec<FailedRuns>,
+}
--- /dev/null
+++ b/crates/core/src/sched/scheduler.rs
@@ -0,0 +1,585 @@
+//! State of a scheduler during its term, and the events that change it.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use smol_str::SmolStr;
+
+use crate::map::{Map, Set};
+use crate::sched::graph::{JobKey, JobSpec, PoolName, QueueName, Resources, TaskName, TeamName, WorkerKey};
+use crate::sched::job::{Job, Phase, Run, Task};
+use crate::sched::order::{EndKind, FencingToken, Order, RunLists, StartAnswer, WorkerReport};
+use crate::sched::policy::{Bounds, Policy, QueuePolicy};
+use crate::sched::progress::{JobRecord, JobState, Progress};
+use crate::sched::worker::{MAX_WAIT, Worker};
+use crate::units::{Millis, MonoTime, WallTime};
+
+/// Length of the leases that workers are given. It outlasts the loss of a scheduler, its store lease of 2 s and the
+/// first look of the next one, so that tasks survive a change of scheduler.
+pub const TASK_LEASE: Millis = Millis(4_500);
+
+/// Time after which an order without an answer is sent again.
+pub const ORDER_RETRY: Millis = Millis(150);
+
+/// Time within which a worker that is up reports itself again after an outage of the store.
+pub const RELIST_LIMIT: Millis = Millis(2_500);
+
+/// Longest time for which a scheduler that lost its term may go on extending leases: one look and its answer.
+pub const DEPOSED_LIMIT: Millis = Millis(2_000);
+
+/// Run numbers that one term may use for a task; a later term starts above them.
+pub const RUNS_PER_TERM: u32 = 1_000;
+
+/// Time of an event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Now {
+    /// Steady clock, which goes on while the process is suspended.
+    pub mono: MonoTime,
+    /// Time of day.
+    pub wall: WallTime,
+}
+
+/// Something that changed what the scheduler believes, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// A run ended.
+    RunEnded {
+        /// Task.
+        task: TaskName,
+        /// Number of the run.
+        run: u32,
+        /// Worker.
+        worker: WorkerKey,
+        /// How.
+        kind: EndKind,
+    },
+    /// A job reached a final state.
+    JobEnded {
+        /// Job.
+        job: JobKey,
+        /// State.
+        state: JobState,
+    },
+    /// A run of an earlier scheduler was found on a worker.
+    RunAdopted {
+        /// Task.
+        task: TaskName,
+        /// Number of the run.
+        run: u32,
+        /// Worker.
+        worker: WorkerKey,
+    },
+    /// A worker lives anew: what it ran is gone.
+    WorkerReborn {
+        /// Worker.
+        worker: WorkerKey,
+    },
+    /// All leases of a silent worker have ended.
+    WorkerLapsed {
+        /// Worker.
+        worker: WorkerKey,
+        /// Runs that were lost.
+        runs: usize,
+    },
+    /// A worker failed several tasks in a row and gets no more for a while.
+    WorkerQuarantined {
+        /// Worker.
+        worker: WorkerKey,
+        /// Failures in a row.
+        failures: u32,
+    },
+    /// Every worker that may hold runs of an earlier term has answered, or its leases have ended.
+    Settled,
+}
+
+/// Content of a look at a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Look {
+    /// New end of the lease on the worker's clock; `None` leaves it.
+    pub lease_until: Option<u64>,
+    /// Ends up to this number may be forgotten.
+    pub durable_end: u64,
+    /// Time to wait for an end.
+    pub wait: Millis,
+}
+
+/// A write to the store.
+#[derive(Clone, Debug, PartialEq)]
+pub enum JobWrite {
+    /// Ends of a job that goes on.
+    Progress(Progress),
+    /// The job has ended.
+    Ended(JobRecord),
+}
+
+/// State of a scheduler.
+#[derive(Debug)]
+pub struct Scheduler {
+    pub(super) token: FencingToken,
+    pub(super) first_run: u32,
+    pub(super) bounds: Bounds,
+    pub(super) policy: Arc<Policy>,
+    pub(super) jobs: Map<JobKey, Job>,
+    pub(super) workers: Map<WorkerKey, Worker>,
+    pub(super) teams: Map<TeamName, Resources>,
+    pub(super) orders: Vec<Order>,
+    pub(super) events: Vec<Event>,
+    ended: Map<JobKey, (QueueName, JobState)>,
+    dirty: VecDeque<JobKey>,
+    unsettled: Set<WorkerKey>,
+    settle_by: MonoTime,
+    is_settled: bool,
+    pub(super) clock: MonoTime,
+}
+
+impl Scheduler {
+    /// Starts a term. `term` counts the terms from 0.
+    #[must_use]
+    pub fn new(token: FencingToken, term: u32, bounds: Bounds, policy: Arc<Policy>) -> Self {
+        Self {
+            token,
+            first_run: term.saturating_mul(RUNS_PER_TERM).saturating_add(1),
+            bounds,
+            policy,
+            jobs: Map::default(),
+            workers: Map::default(),
+            teams: Map::default(),
+            orders: Vec::new(),
+            events: Vec::new(),
+            ended: Map::default(),
+            dirty: VecDeque::new(),
+            unsettled: Set::default(),
+            settle_by: MonoTime(0),
+            is_settled: false,
+            clock: MonoTime(0),
+        }
+    }
+
+    /// Token of all orders of this term.
+    #[must_use]
+    pub const fn token(&self) -> FencingToken {
+        self.token
+    }
+
+    /// Bounds of the platform.
+    #[must_use]
+    pub const fn bounds(&self) -> &Bounds {
+        &self.bounds
+    }
+
+    /// Takes a newer configuration.
+    pub fn set_policy(&mut self, policy: Arc<Policy>) {
+        if policy.version > self.policy.version {
+            for job in self.jobs.values_mut() {
+                job.objective = objective(&policy, &job.spec);
+            }
+            self.policy = policy;
+        }
+    }
+
+    /// Adds a job that the store holds. A job is inherited if it was accepted before the term.
+    pub fn add_job(&mut self, now: Now, key: JobKey, spec: JobSpec, progress: Progress, is_inherited: bool) {
+        if self.jobs.contains_key(&key) || self.ended.contains_key(&key) {
+            return;
+        }
+        let mut job = Job::new(key.clone(), spec, progress);
+        job.is_inherited = is_inherited;
+        job.objective = objective(&self.policy, &job.spec);
+        job.add_due(now.mono, now.wall);
+        self.jobs.insert(key.clone(), job);
+        self.finish_if_complete(&key);
+    }
+
+    /// Adds a job that has ended.
+    pub fn add_ended(&mut self, key: JobKey, queue: QueueName, state: JobState) {
+        self.ended.insert(key, (queue, state));
+    }
+
+    /// Notes the mark of a cancelled job.
+    pub fn cancel_job(&mut self, key: &JobKey) {
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        if job.is_cancelled || job.state.is_final() {
+            return;
+        }
+        job.is_cancelled = true;
+        self.end_job(key, JobState::Cancelled);
+    }
+
+    pub(super) fn end_job(&mut self, key: &JobKey, state: JobState) {
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        if job.state.is_final() {
+            return;
+        }
+        job.state = state;
+        job.version += 1;
+        self.events.push(Event::JobEnded { job: key.clone(), state });
+        self.mark_dirty(key);
+        self.stop_unwanted(key);
+    }
+
+    pub(super) fn finish_if_complete(&mut self, key: &JobKey) {
+        if self.jobs.get(key).is_some_and(|j| !j.state.is_final() && !j.is_lasting() && j.is_complete()) {
+            self.end_job(key, JobState::Completed);
+        }
+    }
+
+    pub(super) fn mark_dirty(&mut self, key: &JobKey) {
+        if !self.dirty.contains(key) {
+            self.dirty.push_back(key.clone());
+        }
+    }
+
+    /// State to show for a job; `None` if it is unknown here. A final state is shown once it is stored.
+    #[must_use]
+    pub fn state_of(&self, key: &JobKey) -> Option<JobState> {
+        if let Some((_, state)) = self.ended.get(key) {
+            return Some(*state);
+        }
+        let job = self.jobs.get(key)?;
+        Some(match job.state {
+            JobState::Cancelled => JobState::Cancelled,
+            state if state.is_final() && job.stored < job.version => JobState::Running,
+            state => state,
+        })
+    }
+
+    /// Number of jobs of a queue for which no task has started.
+    #[must_use]
+    pub fn pending(&self, queue: &QueueName) -> usize {
+        self.jobs.values().filter(|j| j.spec.queue == *queue && j.state == JobState::Queued).count()
+    }
+
+    /// Jobs whose changes wait to be stored, with the version that each write holds.
+    pub fn take_writes(&mut self, now: Now, most: usize) -> Vec<(JobKey, u64, JobWrite)> {
+        let mut writes = Vec::new();
+        while writes.len() < most {
+            let Some(key) = self.dirty.pop_front() else { break };
+            let Some(job) = self.jobs.get(&key) else { continue };
+            let write = if job.state.is_final() {
+                JobWrite::Ended(JobRecord::Ended {
+                    queue: job.spec.queue.clone(),
+                    team: job.spec.team.clone(),
+                    state: job.state,
+                    at: now.wall,
+                })
+            } else {
+                JobWrite::Progress(job.progress())
+            };
+            writes.push((key, job.version, write));
+        }
+        writes
+    }
+
+    /// Notes that a write was refused and has to be made again.
+    pub fn retry_write(&mut self, key: &JobKey) {
+        if self.jobs.contains_key(key) {
+            self.mark_dirty(key);
+        }
+    }
+
+    /// Whether changes wait to be stored.
+    #[must_use]
+    pub fn has_writes(&self) -> bool {
+        !self.dirty.is_empty()
+    }
+
+    /// Notes that the store holds a version of a job.
+    pub fn note_stored(&mut self, key: &JobKey, version: u64) {
+        if let Some(job) = self.jobs.get_mut(key) {
+            job.stored = job.stored.max(version);
+        }
+        for worker in self.workers.values_mut() {
+            worker.note_stored(key, version);
+        }
+        self.retire_job(key);
+    }
+
+    /// Keeps only the state of a job that has ended, is stored and runs nowhere.
+    pub(super) fn retire_job(&mut self, key: &JobKey) {
+        let is_over = |j: &Job| {
+            let has_runs = j.occurrences.iter().flat_map(|o| &o.steps).flat_map(|s| &s.tasks).any(|t| !t.runs.is_empty());
+            j.state.is_final() && j.stored >= j.version && !has_runs
+        };
+        if self.jobs.get(key).is_some_and(is_over)
+            && let Some(job) = self.jobs.remove(key)
+        {
+            self.ended.insert(key.clone(), (job.spec.queue, job.state));
+        }
+    }
+
+    /// Takes the workers that the store lists, and those of the roster that it doesn't.
+    pub fn set_workers(&mut self, listed: Vec<WorkerReport>) {
+        let mut seen = Set::default();
+        for report in listed {
+            seen.insert(report.key.clone());
+            match self.workers.get_mut(&report.key) {
+                Some(worker) => {
+                    worker.is_listed = true;
+                    worker.report = report;
+                }
+                None => {
+                    self.workers.insert(report.key.clone(), Worker::new(report, true));
+                }
+            }
+        }
+        for (key, worker) in &mut self.workers {
+            worker.is_listed = seen.contains(key);
+        }
+    }
+
+    /// Adds the workers on which earlier terms may have started runs, and waits for them.
+    pub fn take_roster(&mut self, now: MonoTime, roster: Vec<WorkerReport>) {
+        for report in roster {
+            let key = report.key.clone();
+            let worker = self.workers.entry(key.clone()).or_insert_with(|| Worker::new(report, false));
+            worker.is_on_roster = true;
+            self.unsettled.insert(key);
+        }
+        let slowest = self.bounds.max_lease.0.min(TASK_LEASE.0 + 1_000) * 102 / 100;
+        self.settle_by = now + DEPOSED_LIMIT + Millis(slowest);
+        self.is_settled = false;
+        self.check_settled(now);
+    }
+
+    pub(super) fn check_settled(&mut self, now: MonoTime) {
+        if !self.is_settled && (self.unsettled.is_empty() || now >= self.settle_by) {
+            self.is_settled = true;
+            self.unsettled.clear();
+            self.events.push(Event::Settled);
+        }
+    }
+
+    /// Whether tasks of jobs from earlier terms may be started.
+    #[must_use]
+    pub const fn is_settled(&self) -> bool {
+        self.is_settled
+    }
+
+    /// Workers that the store's roster does not name yet.
+    #[must_use]
+    pub fn missing_on_roster(&self) -> bool {
+        self.workers.values().any(|w| w.is_listed && !w.is_on_roster)
+    }
+
+    /// Workers to be put on the roster.
+    #[must_use]
+    pub fn roster(&self) -> Vec<WorkerReport> {
+        self.workers.values().filter(|w| w.is_listed || !w.runs.is_empty()).map(|w| w.report.clone()).collect()
+    }
+
+    /// Notes that the store's roster names these workers.
+    pub fn note_roster(&mut self, roster: &[WorkerReport]) {
+        for report in roster {
+            if let Some(worker) = self.workers.get_mut(&report.key) {
+                worker.is_on_roster = true;
+            }
+        }
+    }
+
+    /// All workers.
+    pub fn workers(&self) -> impl Iterator<Item = &Worker> {
+        self.workers.values()
+    }
+
+    /// A worker.
+    #[must_use]
+    pub fn worker(&self, key: &WorkerKey) -> Option<&Worker> {
+        self.workers.get(key)
+    }
+
+    /// A worker that is kept free, or given back.
+    pub fn withhold(&mut self, key: &WorkerKey, is_withheld: bool) {
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.is_withheld = is_withheld;
+        }
+    }
+
+    /// What to ask a worker next; `None` if the worker is no longer of interest.
+    pub fn start_look(&mut self, now: MonoTime, key: &WorkerKey) -> Option<Look> {
+        let lease = self.lease_length();
+        let worker = self.workers.get_mut(key)?;
+        worker.look_sent = now;
+        let is_answering = worker.answered.is_some_and(|at| now.since(at).0 < crate::sched::worker::SILENCE_LIMIT.0);
+        // A silent worker's leases must end, so that its tasks can be started elsewhere.
+        let lease_until = if is_answering { worker.extend_lease(now, lease) } else { None };
+        let must_hurry = worker.has_undurable() || !is_answering || lease_until.is_none();
+        let wait = if must_hurry { Millis(0) } else { MAX_WAIT };
+        Some(Look { lease_until, durable_end: worker.durable_end(), wait })
+    }
+
+    /// Length of leases.
+    #[must_use]
+    pub fn lease_length(&self) -> Millis {
+        Millis(self.bounds.max_lease.0.min(TASK_LEASE.0))
+    }
+
+    /// Takes the lists of a worker. `sent` is the time at which the look was sent.
+    pub fn take_lists(&mut self, now: Now, key: &WorkerKey, sent: MonoTime, lists: RunLists) {
+        self.clock = now.mono;
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        if worker.read_clock(now.mono, lists.clock, lists.born) {
+            self.events.push(Event::WorkerReborn { worker: key.clone() });
+            self.drop_runs(now.mono, key, |_| true);
+        }
+        let is_whole = lists.ended.len() < crate::sched::order::MAX_ENDS_PER_ANSWER;
+        for end in lists.ended {
+            self.apply_end(now.mono, key, end);
+        }
+        let mut listed = Set::default();
+        for row in lists.running {
+            listed.insert((row.task.clone(), row.run));
+            self.apply_row(now.mono, key, row);
+        }
+        if is_whole {
+            self.drop_runs(now.mono, key, |(name, run)| run.known_at < sent && !listed.contains(&(name.clone(), run.number)));
+        }
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.answered = Some(now.mono);
+            worker.is_fenced = true;
+        }
+        self.unsettled.remove(key);
+        self.check_settled(now.mono);
+    }
+
+    /// Notes that another life of the worker, or another worker, answers at its address.
+    pub fn note_other_instance(&mut self, now: MonoTime, key: &WorkerKey) {
+        self.events.push(Event::WorkerReborn { worker: key.clone() });
+        self.drop_runs(now, key, |_| true);
+        self.unsettled.remove(key);
+        self.check_settled(now);
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.answered = None;
+            worker.is_listed = false;
+        }
+    }
+
+    /// Takes the answer to a start. Returns whether a newer scheduler is at work.
+    pub fn take_start_answer(&mut self, now: MonoTime, worker: &WorkerKey, name: &TaskName, run: u32, answer: StartAnswer) -> bool {
+        if let Some(worker) = self.workers.get_mut(worker) {
+            match answer {
+                StartAnswer::NoRoom | StartAnswer::Late | StartAnswer::Unhealthy | StartAnswer::BadTicket => {
+                    worker.note_refusal(now);
+                }
+                _ => {}
+            }
+        }
+        let is_queued_job = self.jobs.get(&name.job).is_some_and(|j| j.state == JobState::Queued);
+        let Some(found) = self.find_run(name, run) else {
+            return answer == StartAnswer::Fenced;
+        };
+        found.in_flight = false;
+        match answer {
+            StartAnswer::Started => {
+                if found.phase == Phase::Starting {
+                    found.phase = Phase::Running;
+                    found.advanced = now;
+                }
+                found.known_at = found.known_at.min(now);
+                if is_queued_job && let Some(job) = self.jobs.get_mut(&name.job) {
+                    job.state = JobState::Running;
+                }
+            }
+            StartAnswer::OldRun => {
+                if found.phase == Phase::Starting {
+                    found.phase = Phase::Unclear;
+                }
+                found.known_at = found.known_at.min(now);
+            }
+            StartAnswer::Unknown => {}
+            // These answers say that the worker did nothing; only an earlier order without an answer may still act.
+            StartAnswer::NoRoom | StartAnswer::Late | StartAnswer::BadTicket | StartAnswer::Unhealthy | StartAnswer::Malformed => {
+                if found.phase == Phase::Starting && found.ordered == found.since {
+                    self.remove_run(name, run);
+                }
+            }
+            StartAnswer::OtherInstance => self.note_other_instance(now, worker),
+            StartAnswer::Fenced => return true,
+        }
+        false
+    }
+
+    /// Takes the answer to a stop: `true` if the worker has taken it.
+    pub fn take_stop_answer(&mut self, now: MonoTime, name: &TaskName, run: u32, is_taken: bool) {
+        if let Some(found) = self.find_run(name, run) {
+            found.in_flight = false;
+            if is_taken {
+                found.known_at = found.known_at.min(now);
+            }
+        }
+    }
+
+    /// Orders that have to be given.
+    pub fn take_orders(&mut self) -> Vec<Order> {
+        std::mem::take(&mut self.orders)
+    }
+
+    /// What changed since the last call.
+    pub fn take_events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Pool that runs a job's tasks now.
+    #[must_use]
+    pub fn pool_of<'a>(&'a self, spec: &'a JobSpec) -> &'a PoolName {
+        self.policy.queues.get(&spec.queue).map_or(&spec.pool, |q| &q.pool)
+    }
+
+    pub(super) fn queue_policy(&self, queue: &QueueName) -> QueuePolicy {
+        self.policy.queues.get(queue).cloned().unwrap_or_default()
+    }
+
+    fn find_run(&mut self, name: &TaskName, number: u32) -> Option<&mut Run> {
+        self.jobs.get_mut(&name.job)?.task_mut(name)?.runs.iter_mut().find(|r| r.number == number)
+    }
+
+    /// Adds a run and takes its room.
+    pub(super) fn add_run(&mut self, name: &TaskName, run: Run) {
+        let Some(job) = self.jobs.get_mut(&name.job) else { return };
+        let size = job.reserved(name.step);
+        let team = job.spec.team.clone();
+        let Some(task) = job.task_mut(name) else { return };
+        task.last_run = task.last_run.max(run.number);
+        if let Some(worker) = self.workers.get_mut(&run.worker) {
+            worker.used += size;
+            worker.runs.insert(name.clone(), run.number);
+        }
+        task.runs.push(run);
+        if let Some(team) = team {
+            *self.teams.entry(team).or_default() += size;
+        }
+    }
+
+    /// Removes a run and gives its room back.
+    pub(super) fn remove_run(&mut self, name: &TaskName, number: u32) -> Option<Run> {
+        let job = self.jobs.get_mut(&name.job)?;
+        let size = job.reserved(name.step);
+        let team = job.spec.team.clone();
+        let task: &mut Task = job.task_mut(name)?;
+        let at = task.runs.iter().position(|r| r.number == number)?;
+        let run = task.runs.remove(at);
+        if let Some(worker) = self.workers.get_mut(&run.worker) {
+            worker.used -= size;
+            if worker.runs.get(name) == Some(&number) {
+                worker.runs.remove(name);
+            }
+        }
+        if let Some(team) = team
+            && let Some(used) = self.teams.get_mut(&team)
+        {
+            *used -= size;
+        }
+        Some(run)
+    }
+
+    /// Payload of a start.
+    pub(super) fn payload_of(&self, name: &TaskName) -> SmolStr {
+        self.jobs.get(&name.job).map(|j| j.spec.payload.clone()).unwrap_or_default()
+    }
+}
+
+fn objective(policy: &Policy, spec: &JobSpec) -> Millis {
+    let default = QueuePolicy::default();
+    let queue = policy.queues.get(&spec.queue).unwrap_or(&default);
+    // Chains last seconds to hours, far below the 2^53 ms that an f64 represents exactly.
+    Millis((spec.longest_chain().0 as f64 * queue.stretch) as u64) + queue.allowance
+}
--- a/crates/carawaybarrow/src/http_client.rs
+++ b/crates/net/src/client.rs
@@ -169,6 +169,8 @@
         let Ok(answer) = future::timeout(limit, exchange).await else {
             // The answer must not be read by a later request on this connection. An error means that it is closed.
             drop(stream.shutdown(Shutdown::Both));
+            // The path may be silent for every kept connection, so the next request opens a new one.
+            self.idle.lock().expect("no holder panics").remove(&address);
             return TimeoutSnafu { address, limit }.fail();
         };
         let (reply, reusable) = answer?;
