Keep the listeners of readiness and peers open

Cause: a server listens as long as its handle lives, and the handles of two of the three servers were dropped after the start. All machines counted as not ready, and entries could not ask the scheduler.

--- a/crates/carawaybarrow/src/node/peers.rs
+++ b/crates/carawaybarrow/src/node/peers.rs
@@ -1,6 +1,7 @@
 //! Calls from an entry to the entry that schedules.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use carawaybarrow_core::sched::graph::{JobKey, QueueName};
@@ -42,25 +43,32 @@
 pub struct Peers {
     client: Client,
     view: Arc<View>,
+    is_lost: AtomicBool,
 }
 
 impl Peers {
     /// Creates the calls.
     #[must_use]
     pub fn new(view: Arc<View>, name: &str) -> Self {
-        Self { client: Client::new(name), view }
+        Self { client: Client::new(name), view, is_lost: AtomicBool::new(false) }
     }
 
     async fn call(&self, call: &Call) -> Option<crate::http_client::Reply> {
         let address = self.view.scheduler()?.peers;
-        match self.client.call(address, call, ANSWER_LIMIT).await {
-            Ok(reply) if reply.status == 200 => Some(reply),
-            Ok(_) => None,
-            Err(e) => {
-                log::info!(scheduler:% = address, error:% = e; "no answer of the scheduler");
-                None
+        let lost = match self.client.call(address, call, ANSWER_LIMIT).await {
+            Ok(reply) if reply.status == 200 => {
+                if self.is_lost.swap(false, Ordering::SeqCst) {
+                    log::info!(scheduler:% = address; "scheduler regained");
+                }
+                return Some(reply);
             }
+            Ok(reply) => format!("status {}", reply.status),
+            Err(e) => e.to_string(),
+        };
+        if !self.is_lost.swap(true, Ordering::SeqCst) {
+            log::warn!(scheduler:% = address, error = lost; "scheduler lost");
         }
+        None
     }
 
     /// Tells the scheduler of a new job. Without an answer it learns of it from the store.
--- a/crates/carawaybarrow/src/node/run.rs
+++ b/crates/carawaybarrow/src/node/run.rs
@@ -59,11 +59,12 @@
 
     let mut peer_app = tide::with_state(Arc::clone(&view));
     peers::add_routes(&mut peer_app);
-    http_server::listen(settings.peers, peer_app, Limits { body_bytes: PEER_BODY_BYTES }).await?;
+    // A server listens as long as its handle lives.
+    let peer_server = http_server::listen(settings.peers, peer_app, Limits { body_bytes: PEER_BODY_BYTES }).await?;
 
     let mut ready_app = tide::with_state(Arc::clone(&view));
     ready_app.at(READINESS_PATH).get(answer_ready);
-    http_server::listen(settings.readiness, ready_app, Limits { body_bytes: 0 }).await?;
+    let ready_server = http_server::listen(settings.readiness, ready_app, Limits { body_bytes: 0 }).await?;
 
     let mut app = tide::with_state(Front { view: Arc::clone(&view), peers: peer_calls });
     callers::add_routes(&mut app);
@@ -88,6 +89,7 @@
     http.start_stop();
     task::sleep(DRAIN_DELAY).await;
     http.finish_stop().await;
+    drop((peer_server, ready_server));
     log::info!("stopped");
     Ok(())
 }
