Notice that nobody schedules, settle each pool by itself, prune the roster

Ruled out: a failed load (no term began at all). A dead worker on the roster also kept all pools waiting for 7.5 s after a takeover.

--- a/crates/carawaybarrow/src/node/listing.rs
+++ b/crates/carawaybarrow/src/node/listing.rs
@@ -111,7 +111,7 @@
         if let Some(policy) = term.view.configuration().map(|c| Arc::clone(&c.policy)) {
             term.with(|s| s.set_policy(policy));
         }
-        if term.with(|s| s.missing_on_roster()) {
+        if term.with(|s| s.is_roster_outdated()) {
             store_roster(&term, &mut roster_revision).await;
         }
         term.advance();
@@ -143,7 +143,7 @@
         for new in reports.iter().filter(|r| !before.iter().any(|(old, _)| old.key == r.key)) {
             log::info!(worker:% = new.key, pool:% = new.pool, vm:? = new.vm, labels:? = new.labels; "worker listed");
         }
-        s.set_workers(reports);
+        s.set_workers(view::now().mono, reports);
     });
 }
 
--- a/crates/carawaybarrow/src/node/view.rs
+++ b/crates/carawaybarrow/src/node/view.rs
@@ -128,10 +128,14 @@
         match self.store.change(&change, PROBE_LIMIT).await {
             Ok(Changed::Done(_)) => self.note_proof(sent),
             Ok(Changed::Conflict(items)) => {
+                let has_owner = items.iter().any(|item| item.key == SCHEDULER_KEY);
                 let is_read = items.into_iter().all(|item| self.take_item(item));
                 if is_read {
                     self.note_proof(sent);
                 }
+                if !has_owner {
+                    self.read_owner().await;
+                }
             }
             Ok(Changed::NoLease) => log::error!("the store answers a probe with a missing lease"),
             Err(e) => {
@@ -146,6 +150,17 @@
         true
     }
 
+    /// Reads who schedules: a conflict leaves out keys that do not exist.
+    async fn read_owner(&self) {
+        match self.store.get(SCHEDULER_KEY, PROBE_LIMIT).await {
+            Ok(item) => {
+                let absent = Item { key: SCHEDULER_KEY.to_owned(), value: None, revision: StoreRevision::ABSENT, created: StoreRevision::ABSENT };
+                self.take_owner(&item.unwrap_or(absent));
+            }
+            Err(e) => log::info!(error:% = e; "no answer about the scheduler"),
+        }
+    }
+
     fn note_proof(&self, sent: MonoTime) {
         let mut known = self.known.write().expect("no holder panics");
         known.proved = known.proved.max(Some(sent));
--- a/crates/carawaybarrow/src/node/writer.rs
+++ b/crates/carawaybarrow/src/node/writer.rs
@@ -65,7 +65,7 @@
             });
             return true;
         }
-        Ok(Changed::Conflict(items)) => take_conflict(term, &items),
+        Ok(Changed::Conflict(items)) => take_conflict(term, &change, &items),
         Ok(Changed::NoLease) => log::error!("the store names a missing lease for a write without one"),
         Err(e) => log::info!(jobs = writes.len(), error:% = e; "ends are not stored yet"),
     }
@@ -110,17 +110,20 @@
 }
 
 /// Learns the present revisions: an earlier write without an answer was made, or the term is over.
-fn take_conflict(term: &Term, items: &[Item]) {
-    for item in items {
-        if item.key == SCHEDULER_KEY {
-            if item.revision != term.revision {
-                term.end("another entry schedules");
-            }
+fn take_conflict(term: &Term, change: &Change, items: &[Item]) {
+    for (key, expected) in &change.expected {
+        // A conflict leaves out keys that do not exist.
+        let present = items.iter().find(|i| i.key == *key).map_or(StoreRevision::ABSENT, |i| i.revision);
+        if present == *expected {
             continue;
         }
-        let Some(job) = item.key.strip_prefix(PROGRESS_PREFIX) else { continue };
-        log::info!(job = job, revision = item.revision.0; "ends of a job have another revision");
+        if key == SCHEDULER_KEY {
+            term.end("the scheduler's key is no longer this term's");
+            return;
+        }
+        let Some(job) = key.strip_prefix(PROGRESS_PREFIX) else { continue };
+        log::info!(job = job, expected = expected.0, revision = present.0; "ends of a job have another revision");
         let mut revisions = term.progress_revisions.lock().expect("no holder panics");
-        revisions.insert(JobKey::new(job), item.revision);
+        revisions.insert(JobKey::new(job), present);
     }
 }
--- a/crates/core/src/sched/plan.rs
+++ b/crates/core/src/sched/plan.rs
@@ -42,7 +42,10 @@
         self.clock = now.mono;
         let mut by_pool: Map<PoolName, Candidates> = Map::default();
         for (key, job) in &self.jobs {
-            if job.state.is_final() || (job.is_inherited && !self.is_settled()) {
+            // A task of an earlier term may still run on a worker that has not answered yet.
+            let is_known = !job.is_inherited
+                || (self.is_pool_settled(&job.spec.pool) && self.is_pool_settled(self.pool_of(&job.spec)));
+            if job.state.is_final() || !is_known {
                 continue;
             }
             self.collect_candidates(now, key, job, &mut by_pool);
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -129,6 +129,7 @@
     unsettled: Set<WorkerKey>,
     settle_by: MonoTime,
     is_settled: bool,
+    roster_size: usize,
     pub(super) clock: MonoTime,
 }
 
@@ -151,6 +152,7 @@
             unsettled: Set::default(),
             settle_by: MonoTime(0),
             is_settled: false,
+            roster_size: 0,
             clock: MonoTime(0),
         }
     }
@@ -307,8 +309,8 @@
         }
     }
 
-    /// Takes the workers that the store lists, and those of the roster that it doesn't.
-    pub fn set_workers(&mut self, listed: Vec<WorkerReport>) {
+    /// Takes the workers that the store lists.
+    pub fn set_workers(&mut self, now: MonoTime, listed: Vec<WorkerReport>) {
         let mut seen = Set::default();
         for report in listed {
             seen.insert(report.key.clone());
@@ -325,10 +327,29 @@
         for (key, worker) in &mut self.workers {
             worker.is_listed = seen.contains(key);
         }
+        self.drop_replaced(now);
+    }
+
+    /// Gives up workers whose VM or address another worker has now: their lives have ended.
+    fn drop_replaced(&mut self, now: MonoTime) {
+        let listed: Vec<&WorkerReport> = self.workers.values().filter(|w| w.is_listed).map(|w| &w.report).collect();
+        let is_replaced = |old: &WorkerReport| {
+            listed.iter().any(|new| {
+                let same_vm = new.vm.is_some() && new.vm == old.vm;
+                new.key != old.key && (same_vm || new.address == old.address)
+            })
+        };
+        let unlisted = self.workers.values().filter(|w| !w.is_listed && is_replaced(&w.report));
+        let replaced: Vec<WorkerKey> = unlisted.map(|w| w.report.key.clone()).collect();
+        for key in replaced {
+            self.note_other_instance(now, &key);
+            self.workers.remove(&key);
+        }
     }
 
     /// Adds the workers on which earlier terms may have started runs, and waits for them.
     pub fn take_roster(&mut self, now: MonoTime, roster: Vec<WorkerReport>) {
+        self.roster_size = roster.len();
         for report in roster {
             let key = report.key.clone();
             let worker = self.workers.entry(key.clone()).or_insert_with(|| Worker::new(report, false));
@@ -349,26 +370,34 @@
         }
     }
 
-    /// Whether tasks of jobs from earlier terms may be started.
+    /// Whether all workers that may hold runs of earlier terms have answered.
     #[must_use]
     pub const fn is_settled(&self) -> bool {
         self.is_settled
     }
 
-    /// Workers that the store's roster does not name yet.
+    /// Whether all workers of a pool that may hold runs of earlier terms have answered.
+    pub(super) fn is_pool_settled(&self, pool: &PoolName) -> bool {
+        self.is_settled || !self.unsettled.iter().any(|key| self.workers.get(key).is_some_and(|w| w.report.pool == *pool))
+    }
+
+    /// Whether the store's roster differs from the workers that may hold runs.
     #[must_use]
-    pub fn missing_on_roster(&self) -> bool {
-        self.workers.values().any(|w| w.is_listed && !w.is_on_roster)
+    pub fn is_roster_outdated(&self) -> bool {
+        let is_missing = self.workers.values().any(|w| w.is_listed && !w.is_on_roster);
+        is_missing || (self.is_settled && self.roster_size > self.roster().len())
     }
 
     /// Workers to be put on the roster.
     #[must_use]
     pub fn roster(&self) -> Vec<WorkerReport> {
-        self.workers.values().filter(|w| w.is_listed || !w.runs.is_empty()).map(|w| w.report.clone()).collect()
+        let may_hold = |w: &&Worker| w.is_listed || !w.runs.is_empty() || self.unsettled.contains(&w.report.key);
+        self.workers.values().filter(may_hold).map(|w| w.report.clone()).collect()
     }
 
     /// Notes that the store's roster names these workers.
     pub fn note_roster(&mut self, roster: &[WorkerReport]) {
+        self.roster_size = roster.len();
         for report in roster {
             if let Some(worker) = self.workers.get_mut(&report.key) {
                 worker.is_on_roster = true;
