Wait for the last scheduler after a takeover, and start nothing beside stray runs

New jobs now wait until the workers of their pool have answered, or until the last scheduler must have met its successor's token (2 s). Ruled out: late starts (both workers answered at once).

--- a/crates/core/src/sched/ends.rs
+++ b/crates/core/src/sched/ends.rs
@@ -118,8 +118,8 @@
         }
     }
 
-    /// Applies a run that a worker lists.
-    pub(super) fn apply_row(&mut self, now: MonoTime, worker: &WorkerKey, row: RunRow) {
+    /// Applies a run that a worker lists. Returns whether it belongs to a job.
+    pub(super) fn apply_row(&mut self, now: MonoTime, worker: &WorkerKey, row: RunRow) -> bool {
         let Some(task) = self.jobs.get_mut(&row.task.job).and_then(|j| j.task_mut(&row.task)) else {
             // No job of the store wants it: it is left from a job that has ended.
             self.orders.push(Order::Stop {
@@ -128,17 +128,17 @@
                 run: row.run,
                 reason: "no such job",
             });
-            return;
+            return false;
         };
         let is_new = !task.runs.iter().any(|r| r.number == row.run);
         if is_new {
             self.adopt_run(now, worker, &row);
         }
-        let Some(job) = self.jobs.get_mut(&row.task.job) else { return };
+        let Some(job) = self.jobs.get_mut(&row.task.job) else { return false };
         if job.state == JobState::Queued {
             job.state = JobState::Running;
         }
-        let Some(task) = job.task_mut(&row.task) else { return };
+        let Some(task) = job.task_mut(&row.task) else { return false };
         if !row.checkpoint.is_empty() {
             task.checkpoint = row.checkpoint;
         }
@@ -158,6 +158,7 @@
             let key = row.task.job;
             self.stop_unwanted(&key);
         }
+        true
     }
 
     fn adopt_run(&mut self, now: MonoTime, worker: &WorkerKey, row: &RunRow) {
--- a/crates/core/src/sched/plan.rs
+++ b/crates/core/src/sched/plan.rs
@@ -42,10 +42,7 @@
         self.clock = now.mono;
         let mut by_pool: Map<PoolName, Candidates> = Map::default();
         for (key, job) in &self.jobs {
-            // A task of an earlier term may still run on a worker that has not answered yet.
-            let is_known = !job.is_inherited
-                || (self.is_pool_settled(&job.spec.pool) && self.is_pool_settled(self.pool_of(&job.spec)));
-            if job.state.is_final() || !is_known {
+            if job.state.is_final() || !self.is_job_settled(now.mono, job) {
                 continue;
             }
             self.collect_candidates(now, key, job, &mut by_pool);
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -128,6 +128,7 @@
     dirty: VecDeque<JobKey>,
     unsettled: Set<WorkerKey>,
     settle_by: MonoTime,
+    deposed_by: MonoTime,
     is_settled: bool,
     roster_size: usize,
     pub(super) clock: MonoTime,
@@ -151,6 +152,7 @@
             dirty: VecDeque::new(),
             unsettled: Set::default(),
             settle_by: MonoTime(0),
+            deposed_by: MonoTime(0),
             is_settled: false,
             roster_size: 0,
             clock: MonoTime(0),
@@ -357,6 +359,7 @@
             self.unsettled.insert(key);
         }
         let slowest = self.bounds.max_lease.0.min(TASK_LEASE.0 + 1_000) * 102 / 100;
+        self.deposed_by = now + DEPOSED_LIMIT;
         self.settle_by = now + DEPOSED_LIMIT + Millis(slowest);
         self.is_settled = false;
         self.check_settled(now);
@@ -376,8 +379,15 @@
         self.is_settled
     }
 
+    /// Whether a job's tasks can't be running by orders of an earlier term.
+    pub(super) fn is_job_settled(&self, now: MonoTime, job: &Job) -> bool {
+        // The last scheduler may have heard of a newer job too, until a worker has told it that its term is over.
+        let is_new = !job.is_inherited && now >= self.deposed_by;
+        is_new || (self.is_pool_settled(&job.spec.pool) && self.is_pool_settled(self.pool_of(&job.spec)))
+    }
+
     /// Whether all workers of a pool that may hold runs of earlier terms have answered.
-    pub(super) fn is_pool_settled(&self, pool: &PoolName) -> bool {
+    fn is_pool_settled(&self, pool: &PoolName) -> bool {
         self.is_settled || !self.unsettled.iter().any(|key| self.workers.get(key).is_some_and(|w| w.report.pool == *pool))
     }
 
@@ -455,9 +465,10 @@
             self.apply_end(now.mono, key, end);
         }
         let mut listed = Set::default();
+        let mut has_strays = false;
         for row in lists.running {
             listed.insert((row.task.clone(), row.run));
-            self.apply_row(now.mono, key, row);
+            has_strays |= !self.apply_row(now.mono, key, row);
         }
         if is_whole {
             self.drop_runs(now.mono, key, |(name, run)| run.known_at < sent && !listed.contains(&(name.clone(), run.number)));
@@ -465,6 +476,7 @@
         if let Some(worker) = self.workers.get_mut(key) {
             worker.answered = Some(now.mono);
             worker.is_fenced = true;
+            worker.has_strays = has_strays;
         }
         self.unsettled.remove(key);
         self.check_settled(now.mono);
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -51,6 +51,8 @@
     pub is_fenced: bool,
     /// Whether the store's roster names it, so that a successor knows that it may hold runs.
     pub is_on_roster: bool,
+    /// Whether it runs something that belongs to no job, whose room is unknown until it has ended.
+    pub has_strays: bool,
     /// Room taken by runs that are or may be there.
     pub used: Resources,
     /// Runs that are or may be there.
@@ -79,6 +81,7 @@
             is_withheld: false,
             is_fenced: false,
             is_on_roster: false,
+            has_strays: false,
             used: Resources::default(),
             runs: Map::default(),
             answered: None,
@@ -118,6 +121,7 @@
             && self.is_on_roster
             && !self.report.draining
             && !self.is_withheld
+            && !self.has_strays
             && self.is_reachable(now)
             && now >= self.avoid_until
     }
