--- a/crates/carawaybarrow/src/node/waves.rs
+++ b/crates/carawaybarrow/src/node/waves.rs
@@ -1,11 +1,13 @@
-//! Takes VMs through the waves of upkeep that operators ask for.
+//! Orders about VMs: waves of upkeep that operators ask for, and moves between pools.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::task;
 use carawaybarrow_core::Set;
-use carawaybarrow_core::sched::upkeep::{VmAnswer, Wave};
+use carawaybarrow_core::sched::balance::Balance;
+use carawaybarrow_core::sched::upkeep::{Vm, VmAnswer, Wave};
+use carawaybarrow_core::units::Millis;
 use carawaybarrow_platform::configuration::WAVE_PREFIX;
 use carawaybarrow_platform::store::{Change, StoreRevision};
 use carawaybarrow_platform::vms::{Holder, Vms, is_wave_complete, read_wave, wave_state_key, write_wave_state};
@@ -21,10 +23,10 @@
 const LIST_LIMIT: Duration = Duration::from_millis(1_000);
 
 /// Time between looks for new waves.
-const IDLE_INTERVAL: Duration = Duration::from_millis(1_000);
+const WAVE_INTERVAL: Millis = Millis(1_000);
 
-/// Time between steps of a wave.
-const STEP_INTERVAL: Duration = Duration::from_millis(300);
+/// Time between looks at the VMs: a peak lasts seconds, and a VM takes 1.5 s to join another pool.
+const STEP_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Works on waves until the term ends.
 pub async fn run(term: Arc<Term>) {
@@ -37,14 +39,24 @@
     // An earlier holder may have given orders until just now.
     task::sleep(term.view.settings.bounds.order_lease.to_duration()).await;
     log::info!(term = term.owner.term, after_ms = view::now().mono.since(began).0; "orders about VMs may be given");
+    let mut balance = Balance::default();
+    let mut looked = None;
     while !term.is_ended() {
-        find_waves(&term, &mut waves, &done).await;
-        if waves.is_empty() {
-            task::sleep(IDLE_INTERVAL).await;
-            continue;
+        let now = view::now().mono;
+        if looked.is_none_or(|at| now.since(at) >= WAVE_INTERVAL) {
+            looked = Some(now);
+            find_waves(&term, &mut waves, &done).await;
         }
+        let listed = match vms.list(LIST_LIMIT).await {
+            Ok(listed) => listed,
+            Err(e) => {
+                log::info!(error:% = e; "no list of the VMs");
+                task::sleep(STEP_INTERVAL).await;
+                continue;
+            }
+        };
         for wave in &mut waves {
-            if !advance(&term, &vms, &holder, wave).await {
+            if !advance(&term, &vms, &holder, wave, &listed).await {
                 return;
             }
             if wave.is_complete() && store_state(&term, wave.request.number, true).await {
@@ -52,10 +64,30 @@
             }
         }
         waves.retain(|w| !done.contains(&w.request.number));
+        if !move_vms(&term, &vms, &holder, &mut balance, &listed).await {
+            return;
+        }
         task::sleep(STEP_INTERVAL).await;
     }
 }
 
+/// Orders the moves that the demand asks for. Returns whether the term may go on with orders.
+async fn move_vms(term: &Arc<Term>, vms: &Vms, holder: &Holder, balance: &mut Balance, listed: &[Vm]) -> bool {
+    let moves = term.with(|s| s.plan_moves(view::now().mono, balance, listed));
+    let answers = moves.iter().map(|planned| vms.move_vm(holder, &planned.vm, &planned.pool, LIST_LIMIT));
+    let answers = futures::future::join_all(answers).await;
+    for (planned, (answer, error)) in moves.iter().zip(answers) {
+        let error = error.map(|e| e.to_string()).unwrap_or_default();
+        log::info!(vm:% = planned.vm, pool:% = planned.pool, need = planned.need, have = planned.have, token = holder.token, answer:? = answer, error:% = error; "move ordered");
+        term.with(|s| s.take_move_answer(balance, planned, answer));
+        if answer == VmAnswer::Fenced {
+            term.end("the list of VMs has seen a higher token");
+            return false;
+        }
+    }
+    true
+}
+
 async fn find_waves(term: &Arc<Term>, waves: &mut Vec<Wave>, done: &Set<u64>) {
     let items = match term.view.store.list(WAVE_PREFIX, STORE_LIMIT).await {
         Ok((items, _)) => items,
@@ -108,15 +140,8 @@
 }
 
 /// Takes one step. Returns whether the term may go on with orders.
-async fn advance(term: &Arc<Term>, vms: &Vms, holder: &Holder, wave: &mut Wave) -> bool {
-    let listed = match vms.list(LIST_LIMIT).await {
-        Ok(listed) => listed,
-        Err(e) => {
-            log::info!(wave = wave.request.number, error:% = e; "no list of the VMs");
-            return true;
-        }
-    };
-    let ready = term.with(|s| s.advance_wave(view::now().mono, wave, &listed));
+async fn advance(term: &Arc<Term>, vms: &Vms, holder: &Holder, wave: &mut Wave, listed: &[Vm]) -> bool {
+    let ready = term.with(|s| s.advance_wave(view::now().mono, wave, listed));
     term.advance();
     for vm in ready {
         if term.is_ended() {
--- /dev/null
+++ b/crates/core/src/sched/balance.rs
@@ -0,0 +1,265 @@
+//! Sizes of pools: which VM moves to which pool.
+//!
+//! A VM that idles in a pool is paid for, and a pool that lacks room makes its jobs late. A move costs about as much as
+//! a second of a VM, and the VM is away for the time of its migration.
+
+use crate::map::Map;
+use crate::sched::graph::{PoolName, VmKey, WorkerKey};
+use crate::sched::scheduler::Scheduler;
+use crate::sched::upkeep::{Vm, VmAnswer, VmState};
+use crate::units::{Millis, MonoTime};
+
+/// Time in which a pool should work off what waits.
+const BACKLOG_HORIZON: Millis = Millis(1_000);
+
+/// Time for which a pool keeps the size that it needed last: shorter gaps between jobs are no reason to move VMs.
+const NEED_MEMORY: Millis = Millis(1_500);
+
+/// Part of the highest need of late that a pool keeps, in percent, so that the first jobs of a peak find room while
+/// further VMs are on their way.
+const KEPT_PERCENT: u64 = 60;
+
+/// Time in which the highest need is forgotten by half.
+const PEAK_HALF_LIFE: Millis = Millis::from_secs(20);
+
+/// Time for which a VM must have idled before it goes to standby: two moves cost as much as the VM in this time.
+const IDLE_BEFORE_STANDBY: Millis = Millis(2_500);
+
+/// Time after an order in which the list may not show its effect yet.
+const MOVE_SETTLE: Millis = Millis(1_000);
+
+/// Most VMs that are on their way at once.
+const MAX_MOVING: usize = 12;
+
+/// A VM to move.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Move {
+    /// VM.
+    pub vm: VmKey,
+    /// Its worker, which has no runs.
+    pub worker: Option<WorkerKey>,
+    /// Pool that needs it.
+    pub pool: PoolName,
+    /// VMs that the pool needs and has, for the log.
+    pub need: u64,
+    /// VMs that the pool has or will have.
+    pub have: u64,
+}
+
+/// Demand of a pool over time.
+#[derive(Clone, Copy, Debug)]
+struct Demand {
+    need: u64,
+    needed_at: MonoTime,
+    peak: f64,
+    updated: MonoTime,
+}
+
+/// A VM that was ordered to move.
+#[derive(Clone, Debug)]
+struct Moving {
+    pool: PoolName,
+    since: MonoTime,
+}
+
+/// Memory of the pools' sizes.
+#[derive(Clone, Debug, Default)]
+pub struct Balance {
+    demands: Map<PoolName, Demand>,
+    moving: Map<VmKey, Moving>,
+    idle_since: Map<WorkerKey, MonoTime>,
+}
+
+impl Balance {
+    /// Whether VMs are on their way.
+    #[must_use]
+    pub fn is_moving(&self) -> bool {
+        !self.moving.is_empty()
+    }
+}
+
+impl Scheduler {
+    /// Decides which VMs move now. Their workers get no more tasks.
+    pub fn plan_moves(&mut self, now: MonoTime, balance: &mut Balance, listed: &[Vm]) -> Vec<Move> {
+        let settle = self.bounds.migration + MOVE_SETTLE;
+        balance.moving.retain(|_, m| now.since(m.since) < settle);
+        self.note_idle(now, balance);
+        let capacity = listed.iter().map(|vm| vm.capacity.cpu).max().unwrap_or(0);
+        if capacity == 0 {
+            return Vec::new();
+        }
+        let mut have: Map<PoolName, u64> = Map::default();
+        for vm in listed {
+            let pool = balance.moving.get(&vm.key).map_or(&vm.pool, |m| &m.pool);
+            if vm.state != VmState::Down {
+                *have.entry(pool.clone()).or_default() += 1;
+            }
+        }
+        let needs = self.update_needs(now, balance, capacity, &have);
+        let standby = self.policy.standby.clone();
+        let mut donors = self.find_donors(balance, listed, &needs, &have, standby.as_ref());
+        let mut lacking: Vec<(PoolName, u64, u64)> = needs
+            .iter()
+            .map(|(pool, need)| (pool.clone(), need.wanted, have.get(pool).copied().unwrap_or(0)))
+            .filter(|(pool, need, have)| need > have && Some(pool) != standby.as_ref())
+            .collect();
+        lacking.sort_by_key(|(pool, need, have)| (std::cmp::Reverse(need - have), pool.clone()));
+        let mut moves = Vec::new();
+        for (pool, need, have) in lacking {
+            for _ in have..need {
+                if balance.moving.len() >= MAX_MOVING {
+                    break;
+                }
+                let Some(at) = donors.iter().position(|(vm, _)| vm.pool != pool) else { break };
+                let (vm, worker) = donors.remove(at);
+                balance.moving.insert(vm.key.clone(), Moving { pool: pool.clone(), since: now });
+                moves.push(Move { vm: vm.key.clone(), worker, pool: pool.clone(), need, have });
+            }
+        }
+        if let Some(standby) = standby {
+            for (vm, worker) in donors {
+                let left = have.entry(vm.pool.clone()).or_default();
+                if *left <= needs.get(&vm.pool).map_or(0, |n| n.kept) {
+                    continue;
+                }
+                let idle = worker.as_ref().and_then(|w| balance.idle_since.get(w)).map_or(Millis(0), |at| now.since(*at));
+                if vm.pool == standby || idle < IDLE_BEFORE_STANDBY || balance.moving.len() >= MAX_MOVING {
+                    continue;
+                }
+                let need = needs.get(&vm.pool).map_or(0, |n| n.kept);
+                let have = *left;
+                *left -= 1;
+                balance.moving.insert(vm.key.clone(), Moving { pool: standby.clone(), since: now });
+                moves.push(Move { vm: vm.key.clone(), worker, pool: standby.clone(), need, have });
+            }
+        }
+        for planned in &moves {
+            if let Some(worker) = &planned.worker {
+                self.withhold(worker, true);
+            }
+        }
+        moves
+    }
+
+    /// Takes the answer to the order of a move.
+    pub fn take_move_answer(&mut self, balance: &mut Balance, planned: &Move, answer: VmAnswer) {
+        let is_refused = !matches!(answer, VmAnswer::Accepted | VmAnswer::Unknown);
+        if is_refused {
+            balance.moving.remove(&planned.vm);
+            if let Some(worker) = &planned.worker {
+                self.withhold(worker, false);
+            }
+        }
+    }
+
+    fn note_idle(&self, now: MonoTime, balance: &mut Balance) {
+        for worker in self.workers.values() {
+            if worker.runs.is_empty() {
+                balance.idle_since.entry(worker.report.key.clone()).or_insert(now);
+            } else {
+                balance.idle_since.remove(&worker.report.key);
+            }
+        }
+        balance.idle_since.retain(|key, _| self.workers.contains_key(key));
+    }
+
+    /// Workers that the lasting tasks of a pool need because of the bound of their steps on one worker.
+    fn fewest_workers(&self, pool: &PoolName) -> u64 {
+        let jobs = self.jobs.values().filter(|j| !j.state.is_final() && self.pool_of(&j.spec) == pool);
+        let steps = jobs.flat_map(|j| &j.spec.steps).filter(|s| s.lasting);
+        steps.filter_map(|s| Some(u64::from(s.count.div_ceil(s.max_per_worker?)))).max().unwrap_or(0)
+    }
+
+    /// CPU that a pool uses or waits for, in thousandths of a core.
+    fn pool_loads(&self) -> Map<PoolName, u64> {
+        let mut loads: Map<PoolName, u64> = self.policy.queues.values().map(|q| (q.pool.clone(), 0)).collect();
+        for worker in self.workers.values() {
+            *loads.entry(worker.report.pool.clone()).or_default() += worker.used.cpu;
+        }
+        for job in self.jobs.values().filter(|j| !j.state.is_final()) {
+            let mut waiting = 0;
+            for (o, occurrence) in job.occurrences.iter().enumerate() {
+                for (s, step) in occurrence.steps.iter().enumerate() {
+                    if step.is_done() || !job.is_step_ready(o, s) {
+                        continue;
+                    }
+                    let spec = &job.spec.steps[s];
+                    let count = step.tasks.iter().filter(|t| t.is_waiting()).count() as u64;
+                    let work = spec.reserved().cpu * count;
+                    waiting += if spec.lasting { work } else { work * spec.estimate.0 / BACKLOG_HORIZON.0 };
+                }
+            }
+            if waiting > 0 {
+                *loads.entry(self.pool_of(&job.spec).clone()).or_default() += waiting;
+            }
+        }
+        loads
+    }
+
+    fn update_needs(&self, now: MonoTime, balance: &mut Balance, capacity: u64, have: &Map<PoolName, u64>) -> Map<PoolName, Need> {
+        let mut needs = Map::default();
+        for (pool, load) in self.pool_loads() {
+            let need = load.div_ceil(capacity).max(self.fewest_workers(&pool));
+            // A new scheduler takes the present size for what the pool needed last.
+            let first = have.get(&pool).copied().unwrap_or(0).max(need) as f64;
+            let demand = balance.demands.entry(pool.clone()).or_insert(Demand { need, needed_at: now, peak: first, updated: now });
+            let passed = now.since(demand.updated).0 as f64 / PEAK_HALF_LIFE.0 as f64;
+            demand.peak = (demand.peak * 0.5_f64.powf(passed)).max(need as f64);
+            demand.updated = now;
+            if need >= demand.need || now.since(demand.needed_at) > NEED_MEMORY {
+                demand.need = need;
+                demand.needed_at = now;
+            }
+            // The peak is a small number of VMs.
+            let kept = (demand.peak * KEPT_PERCENT as f64 / 100.0).ceil() as u64;
+            let lendable = demand.need + 1;
+            needs.insert(pool, Need { wanted: need, lendable, kept: kept.max(lendable) });
+        }
+        needs
+    }
+
+    /// VMs that their pools can spare: those on standby first, then idle ones.
+    fn find_donors(
+        &self,
+        balance: &Balance,
+        listed: &[Vm],
+        needs: &Map<PoolName, Need>,
+        have: &Map<PoolName, u64>,
+        standby: Option<&PoolName>,
+    ) -> Vec<(Vm, Option<WorkerKey>)> {
+        let mut spare: Map<PoolName, u64> =
+            have.iter().map(|(pool, have)| (pool.clone(), have.saturating_sub(needs.get(pool).map_or(0, |n| n.lendable)))).collect();
+        let is_free = |vm: &&Vm| vm.state == VmState::Up && !balance.moving.contains_key(&vm.key);
+        let mut vms: Vec<&Vm> = listed.iter().filter(is_free).collect();
+        vms.sort_by_key(|vm| (Some(&vm.pool) != standby, vm.key.clone()));
+        let mut donors = Vec::new();
+        for vm in vms {
+            let is_standby = Some(&vm.pool) == standby;
+            let worker = vm.worker.as_ref().and_then(|w| self.workers.get(w));
+            let is_idle = worker.is_some_and(|w| w.runs.is_empty() && !w.is_withheld && !w.report.draining);
+            if !is_standby && !is_idle {
+                continue;
+            }
+            let left = spare.entry(vm.pool.clone()).or_default();
+            if !is_standby {
+                if *left == 0 {
+                    continue;
+                }
+                *left -= 1;
+            }
+            donors.push((vm.clone(), worker.map(|w| w.report.key.clone())));
+        }
+        donors
+    }
+}
+
+/// VMs that a pool needs.
+#[derive(Clone, Copy, Debug)]
+struct Need {
+    /// For what it runs and what waits.
+    wanted: u64,
+    /// Below this it lends none to pools that lack room.
+    lendable: u64,
+    /// Below this it sends none to standby.
+    kept: u64,
+}
--- a/crates/core/src/sched/plan.rs
+++ b/crates/core/src/sched/plan.rs
@@ -226,7 +226,9 @@
                 .is_some_and(|rack| self.workers.get(&slot.worker).is_none_or(|w| !w.has_label(rack)));
             let neighbours = if spec.fills { slot.serving } else if spec.target.is_some() { slot.filling } else { 0 };
             let is_avoided = avoid.contains(&slot.worker);
-            (is_avoided, slot.failures.min(8), is_far, neighbours, u64::MAX - slot.free.cpu)
+            // Lasting tasks share workers, so that the others can leave the pool; short ones spread.
+            let room = if spec.lasting { slot.free.cpu } else { u64::MAX - slot.free.cpu };
+            (is_avoided, slot.failures.min(8), is_far, neighbours, room)
         };
         let candidates = slots.iter().enumerate().filter(|(_, slot)| fits(slot));
         candidates.min_by_key(|(_, slot)| score(slot)).map(|(at, _)| at)
