--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -18,10 +18,10 @@
 use crate::node::{links, listing, waves, writer};
 
 /// Length of the scheduler's lease; shorter ones end in short outages, longer ones keep the pools without a scheduler.
-const TERM_LEASE: Duration = Duration::from_millis(2_000);
+const TERM_LEASE: Duration = Duration::from_millis(1_500);
 
-/// Time between renewals: three may fail before the lease ends.
-const RENEW_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between renewals: two may fail before the lease ends.
+const RENEW_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Time for an answer of the store.
 const STORE_LIMIT: Duration = Duration::from_millis(1_000);
@@ -52,7 +52,9 @@
         if view.is_stopping() {
             return;
         }
-        if is_answered && view.scheduler().is_none() && view.configuration().is_some() && view.term().is_none() {
+        // The key of an earlier life of this entry needs no wait for its lease: that life has ended.
+        let is_free = view.scheduler().is_none_or(|o| o.entry == view.settings.entry && o.incarnation != incarnation);
+        if is_answered && is_free && view.configuration().is_some() && view.term().is_none() {
             match try_begin(&view, incarnation).await {
                 Ok(Some(term)) => begin(term),
                 Ok(None) => {}
@@ -99,7 +101,7 @@
     let lease = store.grant_lease(TERM_LEASE.max(view.settings.shortest_store_lease.to_duration()), STORE_LIMIT).await?;
     let owner = Owner { entry: view.settings.entry.clone(), peers: view.settings.peers, incarnation, term: count };
     let change = Change {
-        expected: vec![(SCHEDULER_KEY.to_owned(), StoreRevision::ABSENT), (TERMS_KEY.to_owned(), terms_revision)],
+        expected: vec![(SCHEDULER_KEY.to_owned(), view.scheduler_revision()), (TERMS_KEY.to_owned(), terms_revision)],
         puts: vec![
             (SCHEDULER_KEY.to_owned(), records::write(&owner), Some(lease)),
             (TERMS_KEY.to_owned(), records::write(&(count + 1)), None),
--- a/crates/carawaybarrow/src/node/view.rs
+++ b/crates/carawaybarrow/src/node/view.rs
@@ -82,6 +82,12 @@
         self.known().owner.clone()
     }
 
+    /// Last change of the scheduler's key; absent if nobody schedules.
+    #[must_use]
+    pub fn scheduler_revision(&self) -> StoreRevision {
+        self.known().owner_revision
+    }
+
     /// Whether the balancer should send callers here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/carawaybarrow/src/node/waves.rs
+++ b/crates/carawaybarrow/src/node/waves.rs
@@ -36,9 +36,6 @@
     let began = view::now().mono;
     let mut done: Set<u64> = Set::default();
     let mut waves: Vec<Wave> = Vec::new();
-    // An earlier holder may have given orders until just now.
-    task::sleep(term.view.settings.bounds.order_lease.to_duration()).await;
-    log::info!(term = term.owner.term, after_ms = view::now().mono.since(began).0; "orders about VMs may be given");
     let mut balance = Balance::default();
     let mut looked = None;
     while !term.is_ended() {
@@ -55,6 +52,12 @@
                 continue;
             }
         };
+        term.with(|s| s.note_vms(view::now().mono, &listed));
+        // An earlier holder may have given orders until just before the term.
+        if view::now().mono.since(began) < term.view.settings.bounds.order_lease {
+            task::sleep(STEP_INTERVAL).await;
+            continue;
+        }
         for wave in &mut waves {
             if !advance(&term, &vms, &holder, wave, &listed).await {
                 return;
--- a/crates/core/src/sched/balance.rs
+++ b/crates/core/src/sched/balance.rs
@@ -170,6 +170,12 @@
         steps.filter_map(|s| Some(u64::from(s.count.div_ceil(s.max_per_worker?)))).max().unwrap_or(0)
     }
 
+    /// Workers that the running tasks of a pool fill.
+    fn used_workers(&self, pool: &PoolName, capacity: u64) -> u64 {
+        let used: u64 = self.workers.values().filter(|w| w.report.pool == *pool).map(|w| w.used.cpu).sum();
+        used.div_ceil(capacity)
+    }
+
     /// CPU that a pool uses or waits for, in thousandths of a core.
     fn pool_loads(&self) -> Map<PoolName, u64> {
         let mut loads: Map<PoolName, u64> = self.policy.queues.values().map(|q| (q.pool.clone(), 0)).collect();
@@ -201,10 +207,11 @@
         for (pool, load) in self.pool_loads() {
             let need = load.div_ceil(capacity).max(self.fewest_workers(&pool));
             // A new scheduler takes the present size for what the pool needed last.
-            let first = have.get(&pool).copied().unwrap_or(0).max(need) as f64;
+            let first = have.get(&pool).copied().unwrap_or(0) as f64;
+            let used = self.used_workers(&pool, capacity).max(self.fewest_workers(&pool));
             let demand = balance.demands.entry(pool.clone()).or_insert(Demand { need, needed_at: now, peak: first, updated: now });
             let passed = now.since(demand.updated).0 as f64 / PEAK_HALF_LIFE.0 as f64;
-            demand.peak = (demand.peak * 0.5_f64.powf(passed)).max(need as f64);
+            demand.peak = (demand.peak * 0.5_f64.powf(passed)).max(used as f64);
             demand.updated = now;
             if need >= demand.need || now.since(demand.needed_at) > NEED_MEMORY {
                 demand.need = need;
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -6,11 +6,12 @@
 use smol_str::SmolStr;
 
 use crate::map::{Map, Set};
-use crate::sched::graph::{JobKey, JobSpec, PoolName, QueueName, Resources, TaskName, TeamName, WorkerKey};
+use crate::sched::graph::{JobKey, JobSpec, PoolName, QueueName, Resources, TaskName, TeamName, VmKey, WorkerKey};
 use crate::sched::job::{Job, Phase, Run, Task};
 use crate::sched::order::{EndKind, FencingToken, Order, RunLists, StartAnswer, WorkerReport};
 use crate::sched::policy::{Bounds, Policy, QueuePolicy};
 use crate::sched::progress::{JobRecord, JobState, Progress};
+use crate::sched::upkeep::{Vm, VmState};
 use crate::sched::worker::{MAX_WAIT, Worker};
 use crate::units::{Millis, MonoTime, WallTime};
 
@@ -349,6 +350,21 @@
         }
     }
 
+    /// Gives up workers that the list of VMs shows to be gone: their VM runs another worker, or none.
+    pub fn note_vms(&mut self, now: MonoTime, vms: &[Vm]) {
+        let by_key: Map<&VmKey, &Vm> = vms.iter().map(|vm| (&vm.key, vm)).collect();
+        let is_gone = |worker: &&Worker| {
+            let Some(vm) = worker.report.vm.as_ref().and_then(|vm| by_key.get(vm)) else { return false };
+            let has_other = vm.worker.as_ref().is_some_and(|w| *w != worker.report.key);
+            !worker.is_listed && (has_other || matches!(vm.state, VmState::Moving | VmState::Upkeep))
+        };
+        let gone: Vec<WorkerKey> = self.workers.values().filter(is_gone).map(|w| w.report.key.clone()).collect();
+        for key in gone {
+            self.note_other_instance(now, &key);
+            self.workers.remove(&key);
+        }
+    }
+
     /// Adds the workers on which earlier terms may have started runs, and waits for them.
     pub fn take_roster(&mut self, now: MonoTime, roster: Vec<WorkerReport>) {
         self.roster_size = roster.len();
