--- a/crates/core/src/sched/balance.rs
+++ b/crates/core/src/sched/balance.rs
@@ -15,15 +15,12 @@
 /// Time for which a pool keeps the size that it needed last: shorter gaps between jobs are no reason to move VMs.
 const NEED_MEMORY: Millis = Millis(1_500);
 
-/// Part of the highest need of late that a pool keeps, in percent, so that the first jobs of a peak find room while
-/// further VMs are on their way.
-const KEPT_PERCENT: u64 = 60;
-
-/// Time in which the highest need is forgotten by half.
-const PEAK_HALF_LIFE: Millis = Millis::from_secs(20);
+/// Part of an equal share of all VMs that a pool keeps while it needs less, in percent, so that the first jobs of a peak
+/// find room while further VMs are on their way.
+const KEPT_PERCENT: u64 = 70;
 
 /// Time for which a VM must have idled before it goes to standby: two moves cost as much as the VM in this time.
-const IDLE_BEFORE_STANDBY: Millis = Millis(2_500);
+const IDLE_BEFORE_STANDBY: Millis = Millis(1_500);
 
 /// Time after an order in which the list may not show its effect yet.
 const MOVE_SETTLE: Millis = Millis(1_000);
@@ -51,8 +48,6 @@
 struct Demand {
     need: u64,
     needed_at: MonoTime,
-    peak: f64,
-    updated: MonoTime,
 }
 
 /// A VM that was ordered to move.
@@ -170,12 +165,6 @@
         steps.filter_map(|s| Some(u64::from(s.count.div_ceil(s.max_per_worker?)))).max().unwrap_or(0)
     }
 
-    /// Workers that the running tasks of a pool fill.
-    fn used_workers(&self, pool: &PoolName, capacity: u64) -> u64 {
-        let used: u64 = self.workers.values().filter(|w| w.report.pool == *pool).map(|w| w.used.cpu).sum();
-        used.div_ceil(capacity)
-    }
-
     /// CPU that a pool uses or waits for, in thousandths of a core.
     fn pool_loads(&self) -> Map<PoolName, u64> {
         let mut loads: Map<PoolName, u64> = self.policy.queues.values().map(|q| (q.pool.clone(), 0)).collect();
@@ -204,21 +193,16 @@
 
     fn update_needs(&self, now: MonoTime, balance: &mut Balance, capacity: u64, have: &Map<PoolName, u64>) -> Map<PoolName, Need> {
         let mut needs = Map::default();
-        for (pool, load) in self.pool_loads() {
+        let loads = self.pool_loads();
+        let pools = loads.keys().filter(|pool| Some(*pool) != self.policy.standby.as_ref()).count().max(1) as u64;
+        let total: u64 = have.values().sum();
+        let kept = (total * KEPT_PERCENT / 100).div_ceil(pools);
+        for (pool, load) in loads {
             let need = load.div_ceil(capacity).max(self.fewest_workers(&pool));
-            // A new scheduler takes the present size for what the pool needed last.
-            let first = have.get(&pool).copied().unwrap_or(0) as f64;
-            let used = self.used_workers(&pool, capacity).max(self.fewest_workers(&pool));
-            let demand = balance.demands.entry(pool.clone()).or_insert(Demand { need, needed_at: now, peak: first, updated: now });
-            let passed = now.since(demand.updated).0 as f64 / PEAK_HALF_LIFE.0 as f64;
-            demand.peak = (demand.peak * 0.5_f64.powf(passed)).max(used as f64);
-            demand.updated = now;
+            let demand = balance.demands.entry(pool.clone()).or_insert(Demand { need, needed_at: now });
             if need >= demand.need || now.since(demand.needed_at) > NEED_MEMORY {
-                demand.need = need;
-                demand.needed_at = now;
+                *demand = Demand { need, needed_at: now };
             }
-            // The peak is a small number of VMs.
-            let kept = (demand.peak * KEPT_PERCENT as f64 / 100.0).ceil() as u64;
             let lendable = demand.need + 1;
             needs.insert(pool, Need { wanted: need, lendable, kept: kept.max(lendable) });
         }
