--- a/crates/core/src/sched/balance.rs
+++ b/crates/core/src/sched/balance.rs
@@ -28,6 +28,9 @@
 /// Most VMs that are on their way at once.
 const MAX_MOVING: usize = 12;
 
+/// Most VMs that are added at once for lasting tasks without a worker.
+const MAX_EXTRA: u64 = 3;
+
 /// A VM to move.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Move {
@@ -86,7 +89,7 @@
         let mut have: Map<PoolName, u64> = Map::default();
         for vm in listed {
             let pool = balance.moving.get(&vm.key).map_or(&vm.pool, |m| &m.pool);
-            if vm.state != VmState::Down {
+            if self.is_usable(vm) || balance.moving.contains_key(&vm.key) {
                 *have.entry(pool.clone()).or_default() += 1;
             }
         }
@@ -158,6 +161,30 @@
         balance.idle_since.retain(|key, _| self.workers.contains_key(key));
     }
 
+    /// Whether a VM gives room to its pool, or will within a moment.
+    fn is_usable(&self, vm: &Vm) -> bool {
+        let worker = vm.worker.as_ref().and_then(|w| self.workers.get(w));
+        match vm.state {
+            VmState::Up => worker.is_none_or(|w| !w.is_withheld && !w.report.draining),
+            VmState::Moving => true,
+            VmState::Upkeep | VmState::Down => false,
+        }
+    }
+
+    /// Lasting tasks of a pool that found no worker.
+    fn waiting_lasting(&self, pool: &PoolName) -> u64 {
+        let jobs = self.jobs.values().filter(|j| !j.state.is_final() && self.pool_of(&j.spec) == pool);
+        let mut count = 0;
+        for job in jobs {
+            let lasting = job.spec.steps.iter().enumerate().filter(|(_, spec)| spec.lasting);
+            for (number, _) in lasting {
+                let steps = job.occurrences.iter().filter_map(|o| o.steps.get(number));
+                count += steps.flat_map(|s| &s.tasks).filter(|t| t.is_waiting()).count() as u64;
+            }
+        }
+        count
+    }
+
     /// Workers that the lasting tasks of a pool need because of the bound of their steps on one worker.
     fn fewest_workers(&self, pool: &PoolName) -> u64 {
         let jobs = self.jobs.values().filter(|j| !j.state.is_final() && self.pool_of(&j.spec) == pool);
@@ -198,7 +225,12 @@
         let total: u64 = have.values().sum();
         let kept = (total * KEPT_PERCENT / 100).div_ceil(pools);
         for (pool, load) in loads {
-            let need = load.div_ceil(capacity).max(self.fewest_workers(&pool));
+            let mut need = load.div_ceil(capacity).max(self.fewest_workers(&pool));
+            let waiting = self.waiting_lasting(&pool);
+            if waiting > 0 {
+                // Their steps allow few tasks on one worker, so room on the present workers doesn't help them.
+                need = need.max(have.get(&pool).copied().unwrap_or(0) + waiting.min(MAX_EXTRA));
+            }
             let demand = balance.demands.entry(pool.clone()).or_insert(Demand { need, needed_at: now });
             if need >= demand.need || now.since(demand.needed_at) > NEED_MEMORY {
                 *demand = Demand { need, needed_at: now };
