--- a/crates/carawaybarrow/src/node/records.rs
+++ b/crates/carawaybarrow/src/node/records.rs
@@ -44,6 +44,12 @@
     format!("{PROGRESS_PREFIX}{job}")
 }
 
+/// Key of the progress of a wave.
+#[must_use]
+pub fn wave_key(number: u64) -> String {
+    format!("scheduler/wave/{number}")
+}
+
 /// What a key below [`JOB_PREFIX`] holds.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum JobItem {
--- a/crates/carawaybarrow/src/node/waves.rs
+++ b/crates/carawaybarrow/src/node/waves.rs
@@ -6,13 +6,13 @@
 use async_std::task;
 use carawaybarrow_core::Set;
 use carawaybarrow_core::sched::balance::Balance;
-use carawaybarrow_core::sched::upkeep::{Vm, VmAnswer, Wave};
+use carawaybarrow_core::sched::upkeep::{Vm, VmAnswer, Wave, WaveProgress};
 use carawaybarrow_core::units::Millis;
 use carawaybarrow_platform::configuration::WAVE_PREFIX;
-use carawaybarrow_platform::store::{Change, StoreRevision};
+use carawaybarrow_platform::store::{Change, Changed, StoreError, StoreRevision};
 use carawaybarrow_platform::vms::{Holder, Vms, is_wave_complete, read_wave, wave_state_key, write_wave_state};
 
-use crate::node::records::SCHEDULER_KEY;
+use crate::node::records::{self, SCHEDULER_KEY};
 use crate::node::term::Term;
 use crate::node::view;
 
@@ -62,7 +62,7 @@
             if !advance(&term, &vms, &holder, wave, &listed).await {
                 return;
             }
-            if wave.is_complete() && store_state(&term, wave.request.number, true).await {
+            if wave.is_complete() && store_state(&term, wave, true).await {
                 done.insert(wave.request.number);
             }
         }
@@ -116,23 +116,46 @@
                 continue;
             }
         }
-        log::info!(wave = request.number, vms = request.vms.len(), ceiling = request.ceiling, within_ms = request.within.0; "wave taken up");
-        if store_state(term, request.number, false).await {
-            waves.push(Wave::new(request, view::now().mono));
+        let progress = match read_progress(term, request.number).await {
+            Ok(progress) => progress,
+            Err(e) => {
+                log::info!(wave = request.number, error:% = e; "progress of a wave can't be read");
+                continue;
+            }
+        };
+        log::info!(wave = request.number, vms = request.vms.len(), ceiling = request.ceiling, within_ms = request.within.0, ordered = progress.ordered.len(); "wave taken up");
+        let wave = Wave::new(request, view::now(), &progress);
+        if store_state(term, &wave, false).await {
+            waves.push(wave);
         }
     }
 }
 
-async fn store_state(term: &Arc<Term>, number: u64, is_complete: bool) -> bool {
+/// Progress of a wave in earlier terms, or of one that begins now.
+async fn read_progress(term: &Arc<Term>, number: u64) -> Result<WaveProgress, StoreError> {
+    let item = term.view.store.get(&records::wave_key(number), STORE_LIMIT).await?;
+    let stored = item.and_then(|i| i.value).and_then(|value| match records::read(&value) {
+        Ok(progress) => Some(progress),
+        Err(e) => {
+            log::error!(wave = number, error:% = e; "progress of a wave is malformed, all its VMs are asked again");
+            None
+        }
+    });
+    Ok(stored.unwrap_or_else(|| WaveProgress { started: view::now().wall, ordered: Vec::new() }))
+}
+
+/// Stores how a wave stands, for the operator and for a later scheduler.
+async fn store_state(term: &Arc<Term>, wave: &Wave, is_complete: bool) -> bool {
+    let number = wave.request.number;
     let (key, value) = write_wave_state(number, is_complete);
     let change = Change {
         expected: vec![(SCHEDULER_KEY.to_owned(), term.revision)],
-        puts: vec![(key, value, None)],
+        puts: vec![(key, value, None), (records::wave_key(number), records::write(&wave.progress()), None)],
         deletes: Vec::new(),
     };
     match term.view.store.change(&change, STORE_LIMIT).await {
-        Ok(carawaybarrow_platform::store::Changed::Done(StoreRevision(revision))) => {
-            log::info!(wave = number, complete = is_complete, revision = revision; "state of a wave stored");
+        Ok(Changed::Done(StoreRevision(revision))) => {
+            log::info!(wave = number, complete = is_complete, ordered = wave.progress().ordered.len(), revision = revision; "state of a wave stored");
             true
         }
         answer => {
@@ -144,6 +167,7 @@
 
 /// Takes one step. Returns whether the term may go on with orders.
 async fn advance(term: &Arc<Term>, vms: &Vms, holder: &Holder, wave: &mut Wave, listed: &[Vm]) -> bool {
+    let before = wave.progress();
     let ready = term.with(|s| s.advance_wave(view::now().mono, wave, listed));
     term.advance();
     for vm in ready {
@@ -159,5 +183,9 @@
             return false;
         }
     }
+    if wave.progress() != before {
+        // A later scheduler that misses this asks again, which changes nothing for VMs that were down.
+        store_state(term, wave, false).await;
+    }
     true
 }
--- a/crates/core/src/sched/upkeep.rs
+++ b/crates/core/src/sched/upkeep.rs
@@ -5,12 +5,21 @@
 
 use crate::map::Map;
 use crate::sched::graph::{PoolName, Resources, VmKey, WorkerKey};
-use crate::sched::scheduler::Scheduler;
-use crate::units::{Millis, MonoTime};
+use crate::sched::scheduler::{Now, Scheduler};
+use crate::units::{Millis, MonoTime, WallTime};
 
 /// Time after which a VM goes down although short tasks still run on it.
 const EMPTY_LIMIT: Millis = Millis(2_500);
 
+/// Time after which a VM whose lasting tasks can't be moved away yet is used again.
+const EMPTYING_LIMIT: Millis = Millis(5_000);
+
+/// Time in which one VM is emptied, besides its upkeep.
+const EMPTYING_TIME: Millis = Millis(2_500);
+
+/// Part of a wave's time in which it should be done, in percent; the rest is for faults.
+const PLANNED_PERCENT: u64 = 75;
+
 /// State of a VM as the platform lists it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum VmState {
@@ -90,6 +99,15 @@
     Unknown,
 }
 
+/// What a later scheduler has to know of a wave.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaveProgress {
+    /// Time at which the wave was taken up first.
+    pub started: WallTime,
+    /// VMs whose orders were accepted, and those that are gone.
+    pub ordered: Vec<VmKey>,
+}
+
 /// A wave in progress.
 #[derive(Clone, Debug)]
 pub struct Wave {
@@ -97,16 +115,30 @@
     pub request: WaveRequest,
     /// VMs and where they stand.
     pub vms: Map<VmKey, VmStep>,
-    /// Time at which this scheduler took it up.
-    pub since: MonoTime,
+    /// Time at which it should be done.
+    pub due: MonoTime,
+    started: WallTime,
 }
 
 impl Wave {
-    /// A wave; all VMs wait, because an order for one that has had its upkeep changes nothing.
+    /// A wave with what earlier terms have done of it. VMs ordered by them may still be down.
     #[must_use]
-    pub fn new(request: WaveRequest, now: MonoTime) -> Self {
-        let vms = request.vms.iter().map(|vm| (vm.clone(), VmStep::Waiting)).collect();
-        Self { request, vms, since: now }
+    pub fn new(request: WaveRequest, now: Now, progress: &WaveProgress) -> Self {
+        let step = |vm: &VmKey| if progress.ordered.contains(vm) { VmStep::Down(now.mono) } else { VmStep::Waiting };
+        let vms = request.vms.iter().map(|vm| (vm.clone(), step(vm))).collect();
+        let planned = request.within.0 * PLANNED_PERCENT / 100;
+        let passed = now.wall.since(progress.started).0;
+        let due = now.mono + Millis(planned.saturating_sub(passed));
+        Self { request, vms, due, started: progress.started }
+    }
+
+    /// What a later scheduler has to know.
+    #[must_use]
+    pub fn progress(&self) -> WaveProgress {
+        let is_ordered = |s: &VmStep| !matches!(s, VmStep::Waiting | VmStep::Emptying(_));
+        let mut ordered: Vec<VmKey> = self.vms.iter().filter(|(_, s)| is_ordered(s)).map(|(vm, _)| vm.clone()).collect();
+        ordered.sort();
+        WaveProgress { started: self.started, ordered }
     }
 
     /// Whether each VM is back or gone.
@@ -126,6 +158,14 @@
     pub fn emptying(&self) -> usize {
         self.vms.values().filter(|s| matches!(s, VmStep::Emptying(_))).count()
     }
+
+    /// VMs that should be out of use at once, so that the wave is done in time and takes little room.
+    fn width(&self, now: MonoTime, upkeep: Millis) -> usize {
+        let left = self.vms.values().filter(|s| !matches!(s, VmStep::Done | VmStep::Gone)).count() as u64;
+        let cycle = upkeep.0 + EMPTYING_TIME.0;
+        let time = self.due.since(now).0.max(cycle);
+        usize::try_from((left * cycle).div_ceil(time)).unwrap_or(usize::MAX).clamp(1, self.request.ceiling)
+    }
 }
 
 impl Scheduler {
@@ -152,15 +192,21 @@
             if self.empty_worker(now, worker.as_ref(), since) && wave.down() < wave.request.ceiling {
                 wave.vms.insert(key.clone(), VmStep::Ordered(now));
                 ready.push(key);
+            } else if now.since(since) > EMPTYING_LIMIT {
+                if let Some(worker) = &worker {
+                    self.withhold(worker, false);
+                }
+                wave.vms.insert(key, VmStep::Waiting);
             }
         }
-        // One VM more than may be down is emptied, so that it is ready when one returns.
-        while wave.emptying() + wave.down() < wave.request.ceiling + 1 {
+        let width = wave.width(now, upkeep);
+        while wave.emptying() + wave.down() < width {
             let waiting = wave.vms.iter().filter(|(_, s)| **s == VmStep::Waiting);
             let up = waiting.filter(|(key, _)| by_key.get(key).is_some_and(|vm| vm.state == VmState::Up));
             let next = up.min_by_key(|(key, _)| {
                 let worker = by_key.get(key).and_then(|vm| vm.worker.as_ref()).and_then(|w| self.workers.get(w));
-                (worker.map_or(0, |w| w.used.cpu), key.as_str().to_owned())
+                let lasting = worker.map_or(0, |w| self.count_lasting(&w.report.key).0);
+                (lasting, worker.map_or(0, |w| w.used.cpu), key.as_str().to_owned())
             });
             let Some(key) = next.map(|(key, _)| key.clone()) else { break };
             if let Some(worker) = by_key.get(&key).and_then(|vm| vm.worker.clone()) {
