--- a/crates/carawaybarrow/src/node/callers.rs
+++ b/crates/carawaybarrow/src/node/callers.rs
@@ -7,7 +7,7 @@
 use carawaybarrow_core::sched::progress::{JobRecord, JobState};
 use carawaybarrow_platform::callers::{self, KEY_HEADER};
 use carawaybarrow_platform::configuration::{Configuration, Queue};
-use carawaybarrow_platform::store::{Change, Changed, StoreError, StoreRevision};
+use carawaybarrow_platform::store::StoreError;
 use http_types::Method;
 use serde_json::json;
 use tide::{Request, Response, StatusCode};
@@ -15,18 +15,7 @@
 use crate::node::peers::Peers;
 use crate::node::records;
 use crate::node::view::{self, View};
-
-/// Time for one answer of the store to a write; slow answers take up to 0.5 s.
-const WRITE_LIMIT: Duration = Duration::from_millis(700);
-
-/// Time in which an unanswered write is repeated before its outcome is given as unknown.
-const UNKNOWN_LIMIT: Duration = Duration::from_millis(1_800);
-
-/// Time in which a write that the store refuses is repeated before the caller is sent elsewhere.
-const REFUSED_LIMIT: Duration = Duration::from_millis(100);
-
-/// Pause before a refused write is repeated.
-const RETRY_PAUSE: Duration = Duration::from_millis(30);
+use crate::node::writes::{Writes, Written};
 
 /// Time for a read of the store on a caller's path.
 const READ_LIMIT: Duration = Duration::from_millis(700);
@@ -41,6 +30,8 @@
     pub view: Arc<View>,
     /// Calls to the scheduler.
     pub peers: Arc<Peers>,
+    /// Writes on the path of callers.
+    pub writes: Arc<Writes>,
 }
 
 /// Answers all requests of callers.
@@ -148,12 +139,7 @@
             }
         };
         let record = JobRecord::Accepted(spec);
-        let change = Change {
-            expected: vec![(records::job_key(job), StoreRevision::ABSENT)],
-            puts: vec![(records::job_key(job), records::write(&record), None)],
-            deletes: Vec::new(),
-        };
-        match self.write(&change).await {
+        match self.writes.make(records::job_key(job), records::write(&record)).await {
             Written::Done(revision) => {
                 let (peers, job) = (Arc::clone(&self.peers), job.clone());
                 async_std::task::spawn(async move { peers.push_job(&job, record, revision.0).await });
@@ -165,29 +151,6 @@
         }
     }
 
-    /// Writes until the outcome is known or the time is over.
-    async fn write(&self, change: &Change) -> Written {
-        let began = Instant::now();
-        let mut may_have_happened = false;
-        loop {
-            match self.view.store.change(change, WRITE_LIMIT).await {
-                Ok(Changed::Done(revision)) => return Written::Done(revision),
-                // The first condition names the key that the change creates.
-                Ok(Changed::Conflict(_)) => return Written::Exists,
-                Ok(Changed::NoLease) => return Written::Nothing,
-                Err(e) => {
-                    log::info!(error:% = e, key:% = change.expected[0].0; "write not answered");
-                    may_have_happened |= e.may_have_happened();
-                    let limit = if may_have_happened { UNKNOWN_LIMIT } else { REFUSED_LIMIT };
-                    if began.elapsed() + RETRY_PAUSE >= limit {
-                        return if may_have_happened { Written::Unknown } else { Written::Nothing };
-                    }
-                    async_std::task::sleep(RETRY_PAUSE).await;
-                }
-            }
-        }
-    }
-
     /// State of a job: the scheduler's word, or what the store holds.
     async fn find_state(&self, job: &JobKey) -> Result<Option<JobState>, StoreError> {
         if let Some(state) = self.peers.state_of(job).await {
@@ -223,12 +186,7 @@
             Ok(None) => return Answer::new(410, "no such job"),
             Err(_) => return Answer::new(503, "neither the scheduler nor the store can be asked"),
         }
-        let change = Change {
-            expected: vec![(records::cancel_key(job), StoreRevision::ABSENT)],
-            puts: vec![(records::cancel_key(job), b"{}".to_vec(), None)],
-            deletes: Vec::new(),
-        };
-        match self.write(&change).await {
+        match self.writes.make(records::cancel_key(job), b"{}".to_vec()).await {
             Written::Done(_) | Written::Exists => {
                 self.peers.push_cancel(job).await;
                 Answer::new(200, "cancelled")
@@ -239,18 +197,6 @@
     }
 }
 
-/// Outcome of a write.
-enum Written {
-    /// It was made.
-    Done(StoreRevision),
-    /// The key exists, by this or an earlier write.
-    Exists,
-    /// It was not made and never will be.
-    Nothing,
-    /// It may have been made, or may be later.
-    Unknown,
-}
-
 /// Team of a request; the key decides, except on queues open to all.
 fn find_team(configuration: &Configuration, queue: &Queue, key: Option<&str>) -> Result<Option<TeamName>, Answer> {
     let team = key.and_then(|key| configuration.keys.get(key));
--- a/crates/carawaybarrow/src/node/records.rs
+++ b/crates/carawaybarrow/src/node/records.rs
@@ -17,6 +17,9 @@
 /// Key of the workers that may hold runs.
 pub const ROSTER_KEY: &str = "scheduler/roster";
 
+/// Prefix of the addresses of entries.
+pub const ENTRY_PREFIX: &str = "entries/";
+
 /// Prefix of accepted jobs and of marks that cancel them.
 pub const JOB_PREFIX: &str = "jobs/";
 
@@ -26,6 +29,12 @@
 /// End of the key of a mark that cancels a job.
 const CANCEL_SUFFIX: &str = "/cancel";
 
+/// Key of the address of an entry.
+#[must_use]
+pub fn entry_key(entry: &str) -> String {
+    format!("{ENTRY_PREFIX}{entry}")
+}
+
 /// Key of a job.
 #[must_use]
 pub fn job_key(job: &JobKey) -> String {
--- a/crates/carawaybarrow/src/node/run.rs
+++ b/crates/carawaybarrow/src/node/run.rs
@@ -15,7 +15,8 @@
 use crate::node::callers::{self, Front};
 use crate::node::peers::{self, Peers};
 use crate::node::view::View;
-use crate::node::{election, writer};
+use crate::node::writes::{self, Writes};
+use crate::node::{election, members, writer};
 use crate::serve;
 
 /// Longest body that other entries send: a job with its answer.
@@ -57,8 +58,11 @@
     let view = Arc::new(View::new(settings.clone()));
     let peer_calls = Arc::new(Peers::new(Arc::clone(&view), &settings.entry));
 
+    let writes = Arc::new(Writes::new(Arc::clone(&view), &settings.entry));
+
     let mut peer_app = tide::with_state(Arc::clone(&view));
     peers::add_routes(&mut peer_app);
+    writes::add_routes(&mut peer_app);
     // A server listens as long as its handle lives.
     let peer_server = http_server::listen(settings.peers, peer_app, Limits { body_bytes: PEER_BODY_BYTES }).await?;
 
@@ -66,10 +70,11 @@
     ready_app.at(READINESS_PATH).get(answer_ready);
     let ready_server = http_server::listen(settings.readiness, ready_app, Limits { body_bytes: 0 }).await?;
 
-    let mut app = tide::with_state(Front { view: Arc::clone(&view), peers: peer_calls });
+    let mut app = tide::with_state(Front { view: Arc::clone(&view), peers: peer_calls, writes });
     callers::add_routes(&mut app);
     let http = http_server::listen(settings.callers, app, Limits { body_bytes: CALLER_BODY_BYTES }).await?;
 
+    task::spawn(members::run(Arc::clone(&view)));
     let election = task::spawn(election::run(Arc::clone(&view), incarnation));
     // The sender lives as long as the process, so a missing signal can't end the wait.
     while let Ok(signal) = signals.recv().await {
--- a/crates/carawaybarrow/src/node/view.rs
+++ b/crates/carawaybarrow/src/node/view.rs
@@ -1,5 +1,6 @@
 //! What an entry knows of the configuration and of the scheduler, and how old that knowledge is.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
@@ -46,6 +47,7 @@
     pub store: Store,
     known: RwLock<Known>,
     term: Mutex<Option<Arc<Term>>>,
+    others: Mutex<Vec<SocketAddr>>,
     stopping: AtomicBool,
 }
 
@@ -54,7 +56,7 @@
     #[must_use]
     pub fn new(settings: Settings) -> Self {
         let store = Store::new(settings.store, &settings.entry);
-        Self { settings, store, known: RwLock::default(), term: Mutex::default(), stopping: AtomicBool::new(false) }
+        Self { settings, store, known: RwLock::default(), term: Mutex::default(), others: Mutex::default(), stopping: AtomicBool::new(false) }
     }
 
     fn known(&self) -> std::sync::RwLockReadGuard<'_, Known> {
@@ -106,6 +108,22 @@
         self.stopping.store(true, Ordering::SeqCst);
     }
 
+    /// Addresses of other entries; the one that schedules comes first.
+    #[must_use]
+    pub fn other_entries(&self) -> Vec<SocketAddr> {
+        let mut others = self.others.lock().expect("no holder panics").clone();
+        if let Some(scheduler) = self.scheduler().map(|o| o.peers).filter(|peers| *peers != self.settings.peers) {
+            others.retain(|o| *o != scheduler);
+            others.insert(0, scheduler);
+        }
+        others
+    }
+
+    /// Takes the addresses of other entries.
+    pub fn set_other_entries(&self, others: Vec<SocketAddr>) {
+        *self.others.lock().expect("no holder panics") = others;
+    }
+
     /// Term of this entry, while it schedules.
     #[must_use]
     pub fn term(&self) -> Option<Arc<Term>> {
