Trust the list of VMs on VMs that are down

Ruled out: shorter leases alone (a takeover needs about 2.3 s of them). A worker that is younger than the list's lag of 2 s is not judged by it. Tests fail without the rule.

--- a/crates/carawaybarrow/src/node/view.rs
+++ b/crates/carawaybarrow/src/node/view.rs
@@ -56,7 +56,14 @@
     #[must_use]
     pub fn new(settings: Settings) -> Self {
         let store = Store::new(settings.store, &settings.entry);
-        Self { settings, store, known: RwLock::default(), term: Mutex::default(), others: Mutex::default(), stopping: AtomicBool::new(false) }
+        Self {
+            settings,
+            store,
+            known: RwLock::default(),
+            term: Mutex::default(),
+            others: Mutex::default(),
+            stopping: AtomicBool::new(false),
+        }
     }
 
     fn known(&self) -> std::sync::RwLockReadGuard<'_, Known> {
--- a/crates/carawaybarrow/src/node/waves.rs
+++ b/crates/carawaybarrow/src/node/waves.rs
@@ -52,7 +52,7 @@
                 continue;
             }
         };
-        term.with(|s| s.note_vms(view::now().mono, &listed));
+        term.with(|s| s.note_vms(now, view::now().mono, &listed));
         // An earlier holder may have given orders until just before the term.
         if view::now().mono.since(began) < term.view.settings.bounds.order_lease {
             task::sleep(STEP_INTERVAL).await;
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -28,6 +28,9 @@
 /// Longest time for which a scheduler that lost its term may go on extending leases: one look and its answer.
 pub const DEPOSED_LIMIT: Millis = Millis(2_000);
 
+/// Time by which the list of VMs may be behind.
+const VM_LIST_LAG: Millis = Millis(2_000);
+
 /// Run numbers that one term may use for a task; a later term starts above them.
 pub const RUNS_PER_TERM: u32 = 1_000;
 
@@ -320,16 +323,17 @@
             seen.insert(report.key.clone());
             match self.workers.get_mut(&report.key) {
                 Some(worker) => {
-                    worker.is_listed = true;
+                    // The entry of a worker whose VM is down stays until its heartbeats are missed.
+                    worker.is_listed = !worker.is_gone;
                     worker.report = report;
                 }
                 None => {
-                    self.workers.insert(report.key.clone(), Worker::new(report, true));
+                    self.workers.insert(report.key.clone(), Worker::new(report, true, now));
                 }
             }
         }
         for (key, worker) in &mut self.workers {
-            worker.is_listed = seen.contains(key);
+            worker.is_listed &= seen.contains(key);
         }
         self.drop_replaced(now);
     }
@@ -351,18 +355,26 @@
         }
     }
 
-    /// Gives up workers that the list of VMs shows to be gone: their VM runs another worker, or none.
-    pub fn note_vms(&mut self, now: MonoTime, vms: &[Vm]) {
+    /// Gives up workers that the list of VMs shows to be gone: their VM is down, or runs another worker, or none.
+    /// `asked` is the time at which the list was asked for.
+    pub fn note_vms(&mut self, asked: MonoTime, now: MonoTime, vms: &[Vm]) {
         let by_key: Map<&VmKey, &Vm> = vms.iter().map(|vm| (&vm.key, vm)).collect();
         let is_gone = |worker: &&Worker| {
             let Some(vm) = worker.report.vm.as_ref().and_then(|vm| by_key.get(vm)) else { return false };
+            // The list may not show a worker yet that has just come up.
+            let is_old = worker.known_since + VM_LIST_LAG < asked;
             let has_other = vm.worker.as_ref().is_some_and(|w| *w != worker.report.key);
-            !worker.is_listed && (has_other || matches!(vm.state, VmState::Moving | VmState::Upkeep))
+            let is_away = matches!(vm.state, VmState::Moving | VmState::Upkeep);
+            is_old && (vm.state == VmState::Down || (!worker.is_listed && (has_other || is_away)))
         };
         let gone: Vec<WorkerKey> = self.workers.values().filter(is_gone).map(|w| w.report.key.clone()).collect();
         for key in gone {
-            self.note_other_instance(now, &key);
-            self.workers.remove(&key);
+            if self.workers.get(&key).is_some_and(|w| !w.is_gone) {
+                self.note_other_instance(now, &key);
+            }
+            if let Some(worker) = self.workers.get_mut(&key) {
+                worker.is_gone = true;
+            }
         }
     }
 
@@ -371,7 +383,7 @@
         self.roster_size = roster.len();
         for report in roster {
             let key = report.key.clone();
-            let worker = self.workers.entry(key.clone()).or_insert_with(|| Worker::new(report, false));
+            let worker = self.workers.entry(key.clone()).or_insert_with(|| Worker::new(report, false, MonoTime(0)));
             worker.is_on_roster = true;
             self.unsettled.insert(key);
         }
@@ -494,6 +506,9 @@
             });
         }
         if let Some(worker) = self.workers.get_mut(key) {
+            if std::mem::take(&mut worker.is_gone) {
+                worker.is_listed = true;
+            }
             worker.answered = Some(now.mono);
             worker.is_fenced = true;
             worker.has_strays = has_strays;
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -45,6 +45,10 @@
     pub report: WorkerReport,
     /// Whether the store lists it.
     pub is_listed: bool,
+    /// Whether the list of VMs showed that its life has ended.
+    pub is_gone: bool,
+    /// Time since which it is known.
+    pub known_since: MonoTime,
     /// Whether it is kept free for an upkeep or a move.
     pub is_withheld: bool,
     /// Whether it answered under the present term, so that it refuses orders of earlier terms.
@@ -73,11 +77,13 @@
 impl Worker {
     /// A worker that the store or the roster names.
     #[must_use]
-    pub fn new(report: WorkerReport, is_listed: bool) -> Self {
+    pub fn new(report: WorkerReport, is_listed: bool, now: MonoTime) -> Self {
         Self {
             born: report.born,
             report,
             is_listed,
+            is_gone: false,
+            known_since: now,
             is_withheld: false,
             is_fenced: false,
             is_on_roster: false,
--- a/crates/core/tests/sched/capacity.rs
+++ b/crates/core/tests/sched/capacity.rs
@@ -156,3 +156,41 @@
         assert!(model.running() >= 2);
     }
 }
+
+/// Guards against tasks of a crashed worker that wait for its lease although the list of VMs shows the crash.
+#[test]
+fn tasks_leave_a_vm_that_is_down_at_once() {
+    let mut model = Model::new(2);
+    model.work = 20_000;
+    model.accept("j", job(vec![step(1, 1_000)]));
+    model.run_for(3_000);
+    let first = usize::from(model.worker(0).runs.is_empty());
+    model.worker(first).is_cut = true;
+    model.worker(first).runs.clear();
+    let mut listed = vms(&model);
+    for vm in &mut listed {
+        if vm.worker.as_ref() == Some(&model.worker(first).report.key) {
+            vm.state = VmState::Down;
+        }
+    }
+    let now = MonoTime(model.now);
+    model.scheduler.note_vms(now, now, &listed);
+    model.run_for(100);
+    assert_eq!(model.worker(1 - first).runs.len(), 1);
+}
+
+/// Guards against a list that is behind and takes a new worker for its predecessor.
+#[test]
+fn list_that_is_behind_ends_no_new_worker() {
+    let mut model = Model::new(1);
+    model.work = 20_000;
+    model.accept("j", job(vec![step(1, 1_000)]));
+    model.run_for(500);
+    let mut listed = vms(&model);
+    listed[0].state = VmState::Down;
+    let now = MonoTime(model.now);
+    model.scheduler.note_vms(now, now, &listed);
+    model.run_for(200);
+    assert_eq!(model.running(), 1);
+    assert!(model.done.is_empty());
+}
