--- a/crates/carawaybarrow/src/front.rs
+++ b/crates/carawaybarrow/src/front.rs
@@ -127,8 +127,11 @@
         submission: Submission,
         key: Option<KeyHash>,
     ) -> (Option<ClassId>, Response, Ran) {
+        // Freshness comes first: a configuration that is taken after it is at least as new as the one it speaks of. The
+        // other way round, a key of the old configuration would be admitted by the freshness of the new one.
+        let is_fresh = self.is_fresh();
         let held = self.holder.config();
-        match self.admit(&held, &submission, key.as_ref()) {
+        match self.admit(&held, is_fresh, &submission, key.as_ref()) {
             Verdict::Urgent(spec) => {
                 let (job, class) = (spec.id.clone(), spec.class.clone());
                 let answer = self.run_urgent(spec, submission.payload).await;
@@ -158,7 +161,7 @@
         held.config.queues.get(&queue).map(|q| q.value.class.clone())
     }
 
-    fn admit(&self, held: &Held, submission: &Submission, key: Option<&KeyHash>) -> Verdict {
+    fn admit(&self, held: &Held, is_fresh: bool, submission: &Submission, key: Option<&KeyHash>) -> Verdict {
         let (now, wall) = (self.clock.now(), self.clock.wall());
         let own_id;
         let request_id = match &submission.request_id {
@@ -195,7 +198,7 @@
         let view = View {
             config: &held.config,
             largest_workers: &largest_workers,
-            fresh: self.is_fresh(),
+            fresh: is_fresh,
             store_reachable: self.is_store_reachable(),
             expected_wait,
             room,
--- a/crates/carawaybarrow/src/metrics.rs
+++ b/crates/carawaybarrow/src/metrics.rs
@@ -19,6 +19,13 @@
     source: opentelemetry_sdk::error::OTelSdkError,
 }
 
+impl MetricsError {
+    /// The error of an exporter.
+    pub(crate) const fn from_exporter(source: opentelemetry_sdk::error::OTelSdkError) -> Self {
+        Self { source }
+    }
+}
+
 /// Use of the store, as counted against its budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum StoreUse {
--- a/crates/carawaybarrow/src/node/callers.rs
+++ b/crates/carawaybarrow/src/node/callers.rs
@@ -64,7 +64,9 @@
     let path = req.url().path().to_owned();
     let method = req.method();
     let (answer, version, age) = front.decide(&mut req, &path).await;
-    let elapsed = began.elapsed().as_millis() as u64;
+    let took = began.elapsed();
+    front.view.metrics.record_request(method.as_ref(), answer.status, took);
+    let elapsed = took.as_millis() as u64;
     // Frequent questions after the state of a job change nothing, so only those that fail are written.
     if method != Method::Get || answer.status >= 400 {
         log::info!(method:% = method, path:% = path, status = answer.status, reason = answer.reason, config = version, proof_age_ms = age, took_ms = elapsed; "request");
--- /dev/null
+++ b/crates/carawaybarrow/src/node/meters.rs
@@ -0,0 +1,109 @@
+//! Counters and latency histograms of a node, readable as Prometheus text.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+use crate::metrics::MetricsError;
+
+/// Bounds of the latency histograms, in seconds.
+const BOUNDS: [f64; 12] = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0];
+
+/// Instruments of a node.
+#[derive(Debug)]
+pub struct NodeMetrics {
+    registry: Registry,
+    // Dropping the provider would end the collection.
+    _provider: SdkMeterProvider,
+    requests: Histogram<f64>,
+    orders: Histogram<f64>,
+    store: Histogram<f64>,
+    runs: Counter<u64>,
+    term: Gauge<u64>,
+    version: Gauge<u64>,
+    proof_age: Gauge<u64>,
+}
+
+impl NodeMetrics {
+    /// Sets up the instruments.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the exporter can't be registered.
+    pub fn new() -> Result<Self, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(MetricsError::from_exporter)?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("carawaybarrow");
+        let histogram = |name: &'static str, text: &'static str| {
+            meter.f64_histogram(name).with_description(text).with_boundaries(BOUNDS.to_vec()).build()
+        };
+        Ok(Self {
+            requests: histogram("carawaybarrow_request_seconds", "Time to answer a caller"),
+            orders: histogram("carawaybarrow_order_seconds", "Time until a worker answers an order"),
+            store: histogram("carawaybarrow_store_write_seconds", "Time until the store answers a write of ends"),
+            runs: meter.u64_counter("carawaybarrow_runs_ended").with_description("Runs by how they ended").build(),
+            term: meter
+                .u64_gauge("carawaybarrow_term_token")
+                .with_description("Token while this node schedules, or 0")
+                .build(),
+            version: meter
+                .u64_gauge("carawaybarrow_config_version")
+                .with_description("Configuration in force here")
+                .build(),
+            proof_age: meter
+                .u64_gauge("carawaybarrow_config_proof_age_ms")
+                .with_description("Age of the proof that it is current")
+                .build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Records an answer to a caller.
+    pub fn record_request(&self, method: &str, status: u16, took: Duration) {
+        let labels = [KeyValue::new("method", method.to_owned()), KeyValue::new("status", i64::from(status))];
+        self.requests.record(took.as_secs_f64(), &labels);
+    }
+
+    /// Records the answer to an order.
+    pub fn record_order(&self, order: &'static str, answer: &'static str, took: Duration) {
+        self.orders.record(took.as_secs_f64(), &[KeyValue::new("order", order), KeyValue::new("answer", answer)]);
+    }
+
+    /// Records the answer to a write of ends.
+    pub fn record_store_write(&self, is_done: bool, took: Duration) {
+        self.store.record(took.as_secs_f64(), &[KeyValue::new("done", is_done)]);
+    }
+
+    /// Counts the end of a run.
+    pub fn count_run(&self, how: &'static str) {
+        self.runs.add(1, &[KeyValue::new("how", how)]);
+    }
+
+    /// Sets the token of the present term.
+    pub fn set_term(&self, token: u64) {
+        self.term.record(token, &[]);
+    }
+
+    /// Sets the version of the configuration and the age of its proof.
+    pub fn set_configuration(&self, version: u64, proof_age_ms: u64) {
+        self.version.record(version, &[]);
+        self.proof_age.record(proof_age_ms, &[]);
+    }
+
+    /// All metrics as Prometheus text.
+    #[must_use]
+    pub fn render(&self) -> String {
+        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_else(|e| {
+            log::error!(error:% = e; "metrics can't be rendered");
+            String::new()
+        })
+    }
+}
--- a/crates/carawaybarrow/src/node/mod.rs
+++ b/crates/carawaybarrow/src/node/mod.rs
@@ -9,6 +9,7 @@
 pub mod links;
 pub mod listing;
 pub mod members;
+pub mod meters;
 pub mod peers;
 pub mod records;
 pub mod run;
--- a/crates/carawaybarrow/src/node/run.rs
+++ b/crates/carawaybarrow/src/node/run.rs
@@ -12,13 +12,18 @@
 
 use crate::clock;
 use crate::http_server::{self, Limits};
+use crate::metrics::MetricsError;
 use crate::node::callers::{self, Front};
+use crate::node::meters::NodeMetrics;
 use crate::node::peers::{self, Peers};
 use crate::node::view::View;
 use crate::node::writes::{self, Writes};
 use crate::node::{election, members, writer};
 use crate::serve;
 
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
 /// Longest body that other entries send: a job with its answer.
 const PEER_BODY_BYTES: u64 = 1 << 20;
 
@@ -38,6 +43,12 @@
         /// Cause.
         source: http_server::ListenError,
     },
+    /// Metrics can't be set up.
+    #[snafu(transparent)]
+    Metrics {
+        /// Cause.
+        source: MetricsError,
+    },
     /// Signals can't be received.
     #[snafu(display("can't receive signals: {source}"), context(false))]
     Signal {
@@ -55,7 +66,8 @@
     let signals = serve::listen_signals(&[SIGTERM, SIGINT, SIGHUP])?;
     let incarnation = clock::wall_now().0;
     log::info!(entry:% = settings.entry, data_centre:% = settings.data_centre, incarnation = incarnation; "starting");
-    let view = Arc::new(View::new(settings.clone()));
+    let metrics = Arc::new(NodeMetrics::new()?);
+    let view = Arc::new(View::new(settings.clone(), Arc::clone(&metrics)));
     let peer_calls = Arc::new(Peers::new(Arc::clone(&view), &settings.entry));
 
     let writes = Arc::new(Writes::new(Arc::clone(&view), &settings.entry));
@@ -64,15 +76,19 @@
     peers::add_routes(&mut peer_app);
     writes::add_routes(&mut peer_app);
     // A server listens as long as its handle lives.
-    let peer_server = http_server::listen(settings.peers, peer_app, Limits { body_bytes: PEER_BODY_BYTES }).await?;
+    let peer_server = http_server::listen(settings.peers, peer_app, Limits::new(PEER_BODY_BYTES)).await?;
 
     let mut ready_app = tide::with_state(Arc::clone(&view));
     ready_app.at(READINESS_PATH).get(answer_ready);
-    let ready_server = http_server::listen(settings.readiness, ready_app, Limits { body_bytes: 0 }).await?;
+    let ready_server = http_server::listen(settings.readiness, ready_app, Limits::new(0)).await?;
+
+    let mut metrics_app = tide::with_state(Arc::clone(&metrics));
+    metrics_app.at(METRICS_PATH).get(answer_metrics);
+    let metrics_server = http_server::listen(settings.metrics, metrics_app, Limits::new(0)).await?;
 
     let mut app = tide::with_state(Front { view: Arc::clone(&view), peers: peer_calls, writes });
     callers::add_routes(&mut app);
-    let http = http_server::listen(settings.callers, app, Limits { body_bytes: CALLER_BODY_BYTES }).await?;
+    let http = http_server::listen_with(settings.callers, app, caller_limits(&view)).await?;
 
     task::spawn(members::run(Arc::clone(&view)));
     let election = task::spawn(election::run(Arc::clone(&view), incarnation));
@@ -94,11 +110,24 @@
     http.start_stop();
     task::sleep(DRAIN_DELAY).await;
     http.finish_stop().await;
-    drop((peer_server, ready_server));
+    drop((peer_server, ready_server, metrics_server));
     log::info!("stopped");
     Ok(())
 }
 
+/// Limits of the callers' port, as the configuration in force has them.
+fn caller_limits(view: &Arc<View>) -> http_server::LimitSource {
+    let view = Arc::clone(view);
+    Arc::new(move || match view.configuration().map(|c| c.limits) {
+        Some(limits) => Limits {
+            body_bytes: limits.body_bytes,
+            header_timeout: limits.header_timeout.to_duration(),
+            idle_timeout: limits.idle_timeout.to_duration(),
+        },
+        None => Limits::new(CALLER_BODY_BYTES),
+    })
+}
+
 /// Reads the settings again. Addresses can't change while the process listens on them.
 fn reload(old: &Settings) {
     match Settings::load() {
@@ -108,6 +137,10 @@
     }
 }
 
+async fn answer_metrics(req: tide::Request<Arc<NodeMetrics>>) -> tide::Result {
+    Ok(Response::builder(StatusCode::Ok).content_type("text/plain; version=0.0.4").body(req.state().render()).build())
+}
+
 async fn answer_ready(req: tide::Request<Arc<View>>) -> tide::Result {
     let status = if req.state().is_ready() { StatusCode::Ok } else { StatusCode::ServiceUnavailable };
     Ok(Response::new(status))
--- a/crates/carawaybarrow/src/node/term.rs
+++ b/crates/carawaybarrow/src/node/term.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::{channel, task};
 use carawaybarrow_core::Map;
@@ -10,7 +10,7 @@
 use carawaybarrow_core::sched::order::Order;
 use carawaybarrow_core::sched::progress::{JobRecord, Progress};
 use carawaybarrow_core::sched::scheduler::{Event, Scheduler};
-use carawaybarrow_platform::store::{LeaseId, StoreRevision};
+use carawaybarrow_platform::store::{LeaseId, StoreError, StoreRevision};
 use carawaybarrow_platform::workers::{Taken, Workers};
 
 use crate::node::records::Owner;
@@ -137,6 +137,9 @@
             (s.take_orders(), s.take_events(), s.has_writes())
         });
         for event in events {
+            if let Event::RunEnded { kind, .. } = &event {
+                self.view.metrics.count_run(kind.label());
+            }
             log_event(&event);
         }
         for order in orders {
@@ -159,9 +162,11 @@
             Order::Stop { worker, .. } | Order::Pace { worker, .. } => worker,
         };
         let Some(address) = self.with(|s| s.worker(worker).map(|w| w.report.address)) else { return };
+        let began = Instant::now();
         match order {
             Order::Start(start) => {
                 let (answer, error) = self.workers.start(address, &start, token, ORDER_LIMIT).await;
+                self.view.metrics.record_order("start", answer.label(), began.elapsed());
                 let error = error.map(|e| e.to_string()).unwrap_or_default();
                 log::info!(task:% = start.task, run = start.run, worker:% = start.worker, lease_until = start.lease_until, answer:? = answer, error:% = error; "start");
                 let is_fenced =
@@ -174,12 +179,14 @@
             }
             Order::Stop { worker, task, run, reason } => {
                 let taken = self.workers.stop(address, &worker, &task, run, token, ORDER_LIMIT).await;
+                self.view.metrics.record_order("stop", label_of(&taken), began.elapsed());
                 self.log_order("stop", &task, run, &worker, reason, &taken);
                 self.with(|s| s.take_stop_answer(view::now().mono, &task, run, matches!(taken, Ok(Taken::Yes))));
                 self.check_fence(&taken);
             }
             Order::Pace { worker, task, run, percent } => {
                 let taken = self.workers.pace(address, &worker, &task, run, percent, token, ORDER_LIMIT).await;
+                self.view.metrics.record_order("pace", label_of(&taken), began.elapsed());
                 self.log_order("pace", &task, run, &worker, &percent.to_string(), &taken);
                 self.with(|s| s.take_pace_answer(&task, run, matches!(taken, Ok(Taken::Yes))));
                 self.check_fence(&taken);
@@ -194,18 +201,27 @@
         run: u32,
         worker: &carawaybarrow_core::sched::graph::WorkerKey,
         reason: &str,
-        taken: &Result<Taken, carawaybarrow_platform::store::StoreError>,
+        taken: &Result<Taken, StoreError>,
     ) {
         log::info!(task:% = task, run = run, worker:% = worker, reason = reason, answer:? = taken; "{order}");
     }
 
-    fn check_fence(&self, taken: &Result<Taken, carawaybarrow_platform::store::StoreError>) {
+    fn check_fence(&self, taken: &Result<Taken, StoreError>) {
         if matches!(taken, Ok(Taken::Fenced)) {
             self.end("a worker has seen a higher token");
         }
     }
 }
 
+const fn label_of(taken: &Result<Taken, StoreError>) -> &'static str {
+    match taken {
+        Ok(Taken::Yes) => "taken",
+        Ok(Taken::Fenced) => "fenced",
+        Ok(Taken::No) => "refused",
+        Err(_) => "unknown",
+    }
+}
+
 fn log_event(event: &Event) {
     match event {
         Event::RunEnded { task, run, worker, kind } => {
--- a/crates/carawaybarrow/src/node/view.rs
+++ b/crates/carawaybarrow/src/node/view.rs
@@ -12,6 +12,7 @@
 use carawaybarrow_platform::store::{Change, Changed, Item, Store, StoreRevision};
 
 use crate::clock;
+use crate::node::meters::NodeMetrics;
 use crate::node::records::{self, Owner, SCHEDULER_KEY};
 use crate::node::term::Term;
 
@@ -45,6 +46,8 @@
     pub settings: Settings,
     /// Client of the store.
     pub store: Store,
+    /// Instruments.
+    pub metrics: Arc<NodeMetrics>,
     known: RwLock<Known>,
     term: Mutex<Option<Arc<Term>>>,
     others: Mutex<Vec<SocketAddr>>,
@@ -54,11 +57,12 @@
 impl View {
     /// An entry that knows nothing yet.
     #[must_use]
-    pub fn new(settings: Settings) -> Self {
+    pub fn new(settings: Settings, metrics: Arc<NodeMetrics>) -> Self {
         let store = Store::new(settings.store, &settings.entry);
         Self {
             settings,
             store,
+            metrics,
             known: RwLock::default(),
             term: Mutex::default(),
             others: Mutex::default(),
@@ -139,6 +143,7 @@
 
     /// Begins or ends a term of this entry.
     pub fn set_term(&self, term: Option<Arc<Term>>) {
+        self.metrics.set_term(term.as_ref().map_or(0, |t| t.revision.0));
         *self.term.lock().expect("no holder panics") = term;
     }
 
@@ -200,6 +205,8 @@
     fn note_proof(&self, sent: MonoTime) {
         let mut known = self.known.write().expect("no holder panics");
         known.proved = known.proved.max(Some(sent));
+        let version = known.configuration.as_ref().map_or(0, |c| c.version);
+        self.metrics.set_configuration(version, clock::boot_now().since(sent).0);
         if std::mem::take(&mut known.is_store_lost) {
             log::info!("store regained");
         }
--- a/crates/carawaybarrow/src/node/writer.rs
+++ b/crates/carawaybarrow/src/node/writer.rs
@@ -1,7 +1,7 @@
 //! Stores the ends of jobs.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::task;
 use carawaybarrow_core::sched::graph::JobKey;
@@ -55,7 +55,10 @@
         return true;
     }
     let change = build_change(term, &writes);
-    match term.view.store.change(&change, STORE_LIMIT).await {
+    let began = Instant::now();
+    let answer = term.view.store.change(&change, STORE_LIMIT).await;
+    term.view.metrics.record_store_write(matches!(answer, Ok(Changed::Done(_))), began.elapsed());
+    match answer {
         Ok(Changed::Done(revision)) => {
             note_revisions(term, &writes, revision);
             term.with(|s| {
--- a/crates/carawaybarrow/src/reports.rs
+++ b/crates/carawaybarrow/src/reports.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_std::task;
 use carawaybarrow_core::burn::{ClassBurn, DEFAULT_BUDGET_PER_MILLE};
@@ -22,6 +23,9 @@
 /// Reads of a document before it is reported as not read.
 const READ_ATTEMPTS: u32 = 4;
 
+/// Time for the store's answer about the members before a report of all entries.
+const MEMBERS_LIMIT: Duration = Duration::from_millis(500);
+
 /// Form of a report.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -95,6 +99,11 @@
     /// Merges the burn counts of all members that can be reached.
     async fn merge_burn(&self) -> BurnReport {
         let own = &self.settings.entry;
+        // An entry that has just started may not hold the members that joined after it. Without the store the list that
+        // it holds has to do.
+        if async_std::future::timeout(MEMBERS_LIMIT, self.read_members()).await.is_err() {
+            log::warn!("burn report made with the member list that is held: the store did not answer");
+        }
         let members = self.holder.members();
         let others: Vec<_> = members.members.current.keys().filter(|id| *id != own).cloned().collect();
         let answers = future::join_all(others.iter().map(|id| self.get_burn_from_peer(id))).await;
--- a/crates/carawaybarrow/src/serve.rs
+++ b/crates/carawaybarrow/src/serve.rs
@@ -73,7 +73,7 @@
     admin::add_routes(&mut app);
     reports::add_routes(&mut app);
     explain::add_routes(&mut app);
-    let http = http_server::listen(callers, app, Limits { body_bytes: settings.body_bytes }).await?;
+    let http = http_server::listen(callers, app, Limits::new(settings.body_bytes)).await?;
     let peers = peer::serve(peer_server, Arc::clone(&entry));
     let addresses = Addresses { callers: http.address(), peers: peer_address };
     // Scripts wait for this line instead of guessing when the process is ready to be asked.
--- a/crates/core/src/sched/order.rs
+++ b/crates/core/src/sched/order.rs
@@ -81,6 +81,25 @@
     Unknown,
 }
 
+impl StartAnswer {
+    /// Word for logs and metrics.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Started => "started",
+            Self::Fenced => "fenced",
+            Self::OldRun => "old_run",
+            Self::Late => "late",
+            Self::NoRoom => "no_room",
+            Self::BadTicket => "bad_ticket",
+            Self::OtherInstance => "other_instance",
+            Self::Unhealthy => "unhealthy",
+            Self::Malformed => "malformed",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndKind {
@@ -98,6 +117,21 @@
     Alone,
 }
 
+impl EndKind {
+    /// Word for logs and metrics.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::Stopped => "stopped",
+            Self::Lapsed => "lapsed",
+            Self::Broken => "broken",
+            Self::Alone => "alone",
+        }
+    }
+}
+
 /// A run that a worker lists.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunRow {
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -29,8 +29,24 @@
 pub struct Limits {
     /// Longest body in bytes.
     pub body_bytes: u64,
+    /// Time for the head of a request to arrive after its first byte.
+    pub header_timeout: Duration,
+    /// Time without a request after which a connection ends.
+    pub idle_timeout: Duration,
 }
 
+impl Limits {
+    /// Limits with the usual timeouts: longer than the idle time of [`crate::client::Client`], so that the client ends
+    /// a connection first.
+    #[must_use]
+    pub const fn new(body_bytes: u64) -> Self {
+        Self { body_bytes, header_timeout: Duration::from_secs(10), idle_timeout: Duration::from_secs(60) }
+    }
+}
+
+/// Gives the limits for the next request; they may change with the configuration.
+pub type LimitSource = Arc<dyn Fn() -> Limits + Send + Sync>;
+
 /// A server that can't listen.
 #[derive(Debug, Snafu)]
 #[snafu(display("can't listen on {address}: {source}"))]
@@ -147,6 +163,22 @@
 ///
 /// Fails if the address can't be used.
 pub async fn listen<S>(address: SocketAddr, app: tide::Server<S>, limits: Limits) -> Result<Handle, ListenError>
+where
+    S: Clone + Send + Sync + 'static,
+{
+    listen_with(address, app, Arc::new(move || limits)).await
+}
+
+/// Starts to serve an application under limits that may change.
+///
+/// # Errors
+///
+/// Fails if the address can't be used.
+pub async fn listen_with<S>(
+    address: SocketAddr,
+    app: tide::Server<S>,
+    limits: LimitSource,
+) -> Result<Handle, ListenError>
 where
     S: Clone + Send + Sync + 'static,
 {
@@ -162,7 +194,7 @@
     listener: TcpListener,
     closed: channel::Receiver<()>,
     app: tide::Server<S>,
-    limits: Limits,
+    limits: LimitSource,
     tracker: Arc<Tracker>,
 ) where
     S: Clone + Send + Sync + 'static,
@@ -184,12 +216,12 @@
         };
         // Without this, an answer in two segments waits for the delayed acknowledgement of the first.
         if stream.set_nodelay(true).is_ok() {
-            task::spawn(serve_connection(stream, app.clone(), limits, Arc::clone(&tracker)));
+            task::spawn(serve_connection(stream, app.clone(), Arc::clone(&limits), Arc::clone(&tracker)));
         }
     }
 }
 
-async fn serve_connection<S>(stream: TcpStream, app: tide::Server<S>, limits: Limits, tracker: Arc<Tracker>)
+async fn serve_connection<S>(stream: TcpStream, app: tide::Server<S>, limits: LimitSource, tracker: Arc<Tracker>)
 where
     S: Clone + Send + Sync + 'static,
 {
@@ -199,7 +231,7 @@
         used.store(true, Ordering::SeqCst);
         tracker.requests.fetch_add(1, Ordering::SeqCst);
         let tracker = &tracker;
-        respond(&app, req, limits).map(move |mut res| {
+        respond(&app, req, limits()).map(move |mut res| {
             tracker.requests.fetch_sub(1, Ordering::SeqCst);
             if tracker.is_stopping() {
                 res.insert_header("connection", "close");
@@ -207,16 +239,36 @@
             Ok(res)
         })
     };
-    let mut connection = server::Server::new(stream, endpoint);
-    while let Ok(server::ConnectionStatus::KeepAlive) = connection.accept_one().await {
+    let mut connection = server::Server::new(stream.clone(), endpoint);
+    while has_request(&stream, limits().idle_timeout).await {
+        let guard = end_late_head(&stream, &busy, limits().header_timeout);
+        let status = match future::select(pin!(connection.accept_one()), pin!(guard)).await {
+            Either::Left((status, _)) => status,
+            Either::Right(((), _)) => break,
+        };
         busy.store(false, Ordering::SeqCst);
-        if tracker.is_stopping() {
+        if !matches!(status, Ok(server::ConnectionStatus::KeepAlive)) || tracker.is_stopping() {
             break;
         }
     }
     tracker.remove(id);
 }
 
+/// Waits for the first byte of a request; `false` if the connection ends or idles for too long.
+async fn has_request(stream: &TcpStream, limit: Duration) -> bool {
+    matches!(async_std::future::timeout(limit, stream.peek(&mut [0])).await, Ok(Ok(1)))
+}
+
+/// Returns when the head of a request has not arrived in time; never if it has.
+async fn end_late_head(stream: &TcpStream, busy: &AtomicBool, limit: Duration) {
+    task::sleep(limit).await;
+    if busy.load(Ordering::SeqCst) {
+        future::pending::<()>().await;
+    }
+    // An error means that the peer has closed the connection.
+    drop(stream.shutdown(Shutdown::Both));
+}
+
 async fn respond<S>(app: &tide::Server<S>, mut req: Request, limits: Limits) -> Response
 where
     S: Clone + Send + Sync + 'static,
