Pack all tasks, so that idle VMs can leave their pool

Cause of the price of VMs in pools: short tasks spread over all workers of a pool, so none idled for the 1.5 s after which a VM returns to standby.

--- a/crates/core/src/sched/plan.rs
+++ b/crates/core/src/sched/plan.rs
@@ -242,8 +242,8 @@
                 0
             };
             let is_avoided = avoid.contains(&slot.worker);
-            // Lasting tasks share workers, so that the others can leave the pool; short ones spread.
-            let room = if spec.lasting { slot.free.cpu } else { u64::MAX - slot.free.cpu };
+            // The fullest worker comes first, so that the others idle and can leave the pool.
+            let room = slot.free.cpu;
             (is_avoided, slot.failures.min(8), is_far, neighbours, room)
         };
         let candidates = slots.iter().enumerate().filter(|(_, slot)| fits(slot));
