Order VMs at once after a term that was released or whose process has ended

A holder that stopped by itself takes no turn any more, and says so in the store. Ruled out: the takeover itself (0.27 s) and the store (no lost call).

--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -12,7 +12,9 @@
 use carawaybarrow_platform::store::{Change, Changed, Item, LeaseId, StoreError, StoreRevision};
 use snafu::Snafu;
 
-use crate::node::records::{self, JOB_PREFIX, JobItem, Owner, PROGRESS_PREFIX, ROSTER_KEY, SCHEDULER_KEY, TERMS_KEY};
+use crate::node::records::{
+    self, JOB_PREFIX, JobItem, Owner, PROGRESS_PREFIX, RELEASED_KEY, ROSTER_KEY, SCHEDULER_KEY, TERMS_KEY,
+};
 use crate::node::term::Term;
 use crate::node::view::{self, View};
 use crate::node::{links, listing, waves, writer};
@@ -86,6 +88,17 @@
 
 /// Ends the lease, so that another entry may take over at once.
 pub async fn release(term: &Term) {
+    let change = Change {
+        expected: vec![(SCHEDULER_KEY.to_owned(), term.revision)],
+        puts: vec![(RELEASED_KEY.to_owned(), records::write(&term.owner.term), None)],
+        deletes: Vec::new(),
+    };
+    match term.view.store.change(&change, STORE_LIMIT).await {
+        Ok(Changed::Done(_)) => log::info!(term = term.owner.term; "term released"),
+        answer => {
+            log::info!(term = term.owner.term, answer:? = answer; "the next scheduler is not told that the term was released")
+        }
+    }
     if let Err(e) = term.view.store.end_lease(term.lease, STORE_LIMIT).await {
         log::warn!(error:% = e; "the scheduler's lease was left to lapse");
     }
@@ -98,6 +111,13 @@
         Some(Item { value: Some(value), revision, .. }) => (records::read::<u32>(value)?, *revision),
         _ => (0, StoreRevision::ABSENT),
     };
+    let is_own_key = view.scheduler().is_some();
+    let released = match store.get(RELEASED_KEY, STORE_LIMIT).await? {
+        Some(Item { value: Some(value), .. }) => Some(records::read::<u32>(&value)?),
+        _ => None,
+    };
+    // A scheduler that stopped by itself, or whose process has ended, gives no more orders about VMs.
+    let may_order_at_once = count == 0 || is_own_key || released == Some(count - 1);
     let lease =
         store.grant_lease(TERM_LEASE.max(view.settings.shortest_store_lease.to_duration()), STORE_LIMIT).await?;
     let owner = Owner { entry: view.settings.entry.clone(), peers: view.settings.peers, incarnation, term: count };
@@ -136,7 +156,7 @@
     });
     let policy = view.configuration().map(|c| Arc::clone(&c.policy)).unwrap_or_default();
     let scheduler = Scheduler::new(FencingToken(revision.0), count, view.settings.bounds, policy);
-    Ok(Some(Arc::new(Term::new(owner, revision, lease, Arc::clone(view), scheduler))))
+    Ok(Some(Arc::new(Term::new(owner, revision, lease, Arc::clone(view), scheduler, may_order_at_once))))
 }
 
 async fn abandon(view: &View, lease: LeaseId) {
--- a/crates/carawaybarrow/src/node/records.rs
+++ b/crates/carawaybarrow/src/node/records.rs
@@ -14,6 +14,9 @@
 /// Key of the number of terms so far.
 pub const TERMS_KEY: &str = "scheduler/terms";
 
+/// Key of the number of the last term that ended by itself.
+pub const RELEASED_KEY: &str = "scheduler/released";
+
 /// Key of the workers that may hold runs.
 pub const ROSTER_KEY: &str = "scheduler/roster";
 
--- a/crates/carawaybarrow/src/node/term.rs
+++ b/crates/carawaybarrow/src/node/term.rs
@@ -32,6 +32,8 @@
     pub view: Arc<View>,
     /// Client of the workers.
     pub workers: Workers,
+    /// Whether the last scheduler surely gives no more orders about VMs.
+    pub may_order_at_once: bool,
     /// Revisions of the documents with the ends of jobs.
     pub progress_revisions: Mutex<Map<JobKey, StoreRevision>>,
     scheduler: Mutex<Scheduler>,
@@ -44,7 +46,14 @@
 impl Term {
     /// Begins a term.
     #[must_use]
-    pub fn new(owner: Owner, revision: StoreRevision, lease: LeaseId, view: Arc<View>, scheduler: Scheduler) -> Self {
+    pub fn new(
+        owner: Owner,
+        revision: StoreRevision,
+        lease: LeaseId,
+        view: Arc<View>,
+        scheduler: Scheduler,
+        may_order_at_once: bool,
+    ) -> Self {
         let workers = Workers::new(&view.settings.entry);
         Self {
             owner,
@@ -52,6 +61,7 @@
             lease,
             view,
             workers,
+            may_order_at_once,
             progress_revisions: Mutex::default(),
             scheduler: Mutex::new(scheduler),
             loaded: AtomicBool::new(false),
--- a/crates/carawaybarrow/src/node/waves.rs
+++ b/crates/carawaybarrow/src/node/waves.rs
@@ -54,7 +54,8 @@
         };
         term.with(|s| s.note_vms(now, view::now().mono, &listed));
         // An earlier holder may have given orders until just before the term.
-        if view::now().mono.since(began) < term.view.settings.bounds.order_lease {
+        let is_turn = term.may_order_at_once || view::now().mono.since(began) >= term.view.settings.bounds.order_lease;
+        if !is_turn {
             task::sleep(STEP_INTERVAL).await;
             continue;
         }
