Ask for tickets on advised queues, and delete records of jobs that ended long ago

Queues with advice exist in the published interface and not on the two sites, so this is tested on the model only: nothing starts without a ticket, and only where one was given. Records of ended jobs are deleted after twice the retention that callers are promised; until now they stayed for ever.

--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -79,6 +79,7 @@
             return;
         }
         task::spawn(writer::run(Arc::clone(&term)));
+        task::spawn(writer::expire_jobs(Arc::clone(&term)));
         task::spawn(listing::watch_jobs(Arc::clone(&term)));
         task::spawn(listing::list_workers(Arc::clone(&term)));
         task::spawn(waves::run(Arc::clone(&term)));
@@ -224,7 +225,7 @@
                     let is_inherited = item.created < term.revision;
                     term.with(|s| s.add_job(now, job, spec, done, is_inherited));
                 }
-                JobRecord::Ended { queue, state, .. } => term.with(|s| s.add_ended(job, queue, state)),
+                JobRecord::Ended { state, at, .. } => term.with(|s| s.add_ended(job, state, at)),
             },
             None => log::warn!(key:% = item.key; "unknown key among the jobs"),
         }
--- a/crates/carawaybarrow/src/node/term.rs
+++ b/crates/carawaybarrow/src/node/term.rs
@@ -6,12 +6,14 @@
 
 use async_std::{channel, task};
 use carawaybarrow_core::Map;
-use carawaybarrow_core::sched::graph::JobKey;
-use carawaybarrow_core::sched::order::Order;
+use carawaybarrow_core::sched::advice::StepName;
+use carawaybarrow_core::sched::graph::{JobKey, TaskName, WorkerKey};
+use carawaybarrow_core::sched::order::{Order, StartAnswer};
 use carawaybarrow_core::sched::progress::{JobRecord, Progress};
 use carawaybarrow_core::sched::scheduler::{Event, Scheduler};
+use carawaybarrow_platform::advice::Advice;
 use carawaybarrow_platform::store::{LeaseId, StoreError, StoreRevision};
-use carawaybarrow_platform::workers::{Taken, Workers};
+use carawaybarrow_platform::workers::{RunAt, Taken, Workers};
 
 use crate::node::records::Owner;
 use crate::node::view::{self, View};
@@ -19,6 +21,9 @@
 /// Time for the answer to an order; workers answer in milliseconds, and a start is sent again afterwards.
 const ORDER_LIMIT: Duration = Duration::from_millis(200);
 
+/// Time for an answer of the advice service, which takes its time for each worker.
+const ADVICE_LIMIT: Duration = Duration::from_millis(3_000);
+
 /// A term.
 #[derive(Debug)]
 pub struct Term {
@@ -32,6 +37,8 @@
     pub view: Arc<View>,
     /// Client of the workers.
     pub workers: Workers,
+    /// Client of the service that knows which workers a queue allows.
+    advice: Option<Advice>,
     /// Whether the last scheduler surely gives no more orders about VMs.
     pub may_order_at_once: bool,
     /// Revisions of the documents with the ends of jobs.
@@ -55,12 +62,14 @@
         may_order_at_once: bool,
     ) -> Self {
         let workers = Workers::new(&view.settings.entry);
+        let advice = view.settings.advice.map(|address| Advice::new(address, &view.settings.entry));
         Self {
             owner,
             revision,
             lease,
             view,
             workers,
+            advice,
             may_order_at_once,
             progress_revisions: Mutex::default(),
             scheduler: Mutex::new(scheduler),
@@ -126,7 +135,7 @@
             JobRecord::Accepted(spec) => {
                 s.add_job(view::now(), job.clone(), spec, Progress::default(), created < self.revision.0);
             }
-            JobRecord::Ended { queue, state, .. } => s.add_ended(job.clone(), queue, state),
+            JobRecord::Ended { state, at, .. } => s.add_ended(job.clone(), state, at),
         });
         self.advance();
     }
@@ -166,14 +175,15 @@
             return;
         }
         let token = self.with(|s| s.token());
-        let (Order::Start(_) | Order::Stop { .. } | Order::Pace { .. }) = &order;
         let worker = match &order {
             Order::Start(start) => &start.worker,
             Order::Stop { worker, .. } | Order::Pace { worker, .. } => worker,
+            Order::Ask { step, workers } => return self.ask(step, workers).await,
         };
         let Some(address) = self.with(|s| s.worker(worker).map(|w| w.report.address)) else { return };
         let began = Instant::now();
         match order {
+            Order::Ask { .. } => {}
             Order::Start(start) => {
                 let (answer, error) = self.workers.start(address, &start, token, ORDER_LIMIT).await;
                 self.view.metrics.record_order("start", answer.label(), began.elapsed());
@@ -183,19 +193,21 @@
                     self.with(|s| s.take_start_answer(view::now().mono, &start.worker, &start.task, start.run, answer));
                 if is_fenced {
                     self.end("a worker has seen a higher token");
-                } else if answer != carawaybarrow_core::sched::order::StartAnswer::Started {
+                } else if answer != StartAnswer::Started {
                     self.advance();
                 }
             }
             Order::Stop { worker, task, run, reason } => {
-                let taken = self.workers.stop(address, &worker, &task, run, token, ORDER_LIMIT).await;
+                let at = RunAt { address, worker: &worker, task: &task, run };
+                let taken = self.workers.stop(&at, token, ORDER_LIMIT).await;
                 self.view.metrics.record_order("stop", label_of(&taken), began.elapsed());
                 self.log_order("stop", &task, run, &worker, reason, &taken);
                 self.with(|s| s.take_stop_answer(view::now().mono, &task, run, matches!(taken, Ok(Taken::Yes))));
                 self.check_fence(&taken);
             }
             Order::Pace { worker, task, run, percent } => {
-                let taken = self.workers.pace(address, &worker, &task, run, percent, token, ORDER_LIMIT).await;
+                let at = RunAt { address, worker: &worker, task: &task, run };
+                let taken = self.workers.pace(&at, percent, token, ORDER_LIMIT).await;
                 self.view.metrics.record_order("pace", label_of(&taken), began.elapsed());
                 self.log_order("pace", &task, run, &worker, &percent.to_string(), &taken);
                 self.with(|s| s.take_pace_answer(&task, run, matches!(taken, Ok(Taken::Yes))));
@@ -204,12 +216,31 @@
         }
     }
 
+    /// Asks which workers may run a step.
+    async fn ask(self: &Arc<Self>, step: &StepName, workers: &[WorkerKey]) {
+        let Some(advice) = &self.advice else {
+            return log::error!(step:% = step; "the queue needs advice, and the settings name no service");
+        };
+        let answer = match advice.ask(&step.to_string(), workers, ADVICE_LIMIT).await {
+            Ok(allowed) => {
+                log::info!(step:% = step, asked = workers.len(), allowed = allowed.workers.len(), valid_ms = allowed.valid.0; "advice");
+                Some((allowed.workers, allowed.valid))
+            }
+            Err(e) => {
+                log::info!(step:% = step, asked = workers.len(), error:% = e; "no advice");
+                None
+            }
+        };
+        self.with(|s| s.take_advice(view::now().mono, step, answer));
+        self.advance();
+    }
+
     fn log_order(
         &self,
         order: &str,
-        task: &carawaybarrow_core::sched::graph::TaskName,
+        task: &TaskName,
         run: u32,
-        worker: &carawaybarrow_core::sched::graph::WorkerKey,
+        worker: &WorkerKey,
         reason: &str,
         taken: &Result<Taken, StoreError>,
     ) {
--- a/crates/carawaybarrow/src/node/writer.rs
+++ b/crates/carawaybarrow/src/node/writer.rs
@@ -6,6 +6,7 @@
 use async_std::task;
 use carawaybarrow_core::sched::graph::JobKey;
 use carawaybarrow_core::sched::scheduler::JobWrite;
+use carawaybarrow_core::units::Millis;
 use carawaybarrow_platform::store::{Change, Changed, Item, MAX_ROWS, StoreRevision};
 
 use crate::node::records::{self, PROGRESS_PREFIX, SCHEDULER_KEY};
@@ -24,6 +25,15 @@
 /// Jobs in one change; one row is the condition that the term goes on.
 const JOBS_PER_CHANGE: usize = (MAX_ROWS - 1) / ROWS_PER_JOB;
 
+/// Times the retention that callers are promised, for which records are kept: clocks of entries may differ and jump.
+const RETENTION_FACTOR: u64 = 2;
+
+/// Records deleted by one change; each may have a mark that cancels it.
+const EXPIRED_PER_CHANGE: usize = (MAX_ROWS - 1) / 2;
+
+/// Time between deletions. At 15 records each, this keeps up with 30 jobs a second.
+const EXPIRE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Stores ends until the term is over.
 pub async fn run(term: Arc<Term>) {
     loop {
@@ -39,6 +49,30 @@
     }
 }
 
+/// Deletes the records of jobs that ended long ago.
+pub async fn expire_jobs(term: Arc<Term>) {
+    let retention = Millis(term.view.settings.state_retention.0 * RETENTION_FACTOR);
+    while !term.is_ended() {
+        let expired = term.with(|s| s.find_expired(view::now().wall, retention, EXPIRED_PER_CHANGE));
+        if !expired.is_empty() {
+            let mut change = Change { expected: vec![(SCHEDULER_KEY.to_owned(), term.revision)], ..Change::default() };
+            for job in &expired {
+                change.deletes.extend([records::job_key(job), records::cancel_key(job)]);
+            }
+            match term.view.store.change(&change, STORE_LIMIT).await {
+                Ok(Changed::Done(revision)) => {
+                    log::info!(jobs = expired.len(), revision = revision.0; "records of ended jobs deleted");
+                    term.with(|s| expired.iter().for_each(|job| s.forget_job(job)));
+                }
+                answer => {
+                    log::info!(jobs = expired.len(), answer:? = answer; "records of ended jobs are not deleted yet")
+                }
+            }
+        }
+        task::sleep(EXPIRE_INTERVAL).await;
+    }
+}
+
 /// Stores what is left when a term ends by itself. What the store doesn't take the next scheduler learns from workers.
 pub async fn flush(term: &Arc<Term>) {
     while term.with(|s| s.has_writes()) {
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -3,6 +3,7 @@
 //! One scheduler owns all pools for the length of its term. It learns what runs from the workers' own lists, writes
 //! ends to the store before workers may forget them, and numbers its orders with a fencing token.
 
+pub mod advice;
 pub mod balance;
 pub mod graph;
 pub mod job;
--- a/crates/core/src/sched/order.rs
+++ b/crates/core/src/sched/order.rs
@@ -2,6 +2,7 @@
 
 use smol_str::SmolStr;
 
+use crate::sched::advice::StepName;
 use crate::sched::graph::{PoolName, Resources, TaskName, VmKey, WorkerKey};
 
 /// Number that rises with each term of a scheduler; workers refuse orders with a lower one.
@@ -43,6 +44,13 @@
         /// Why, for the log.
         reason: &'static str,
     },
+    /// Ask which workers may run a step.
+    Ask {
+        /// Step.
+        step: StepName,
+        /// Workers that have room for it.
+        workers: Vec<WorkerKey>,
+    },
     /// Let a run work at a part of its speed.
     Pace {
         /// Worker.
--- a/crates/core/src/sched/plan.rs
+++ b/crates/core/src/sched/plan.rs
@@ -1,6 +1,7 @@
 //! Placement: which waiting task starts on which worker.
 
 use crate::map::Map;
+use crate::sched::advice::StepName;
 use crate::sched::graph::{JobKey, PoolName, Resources, Step, TaskName, WorkerKey};
 use crate::sched::job::{Job, Phase, Run};
 use crate::sched::order::{Order, Start};
@@ -40,6 +41,7 @@
     /// Starts waiting tasks where there is room.
     pub fn plan(&mut self, now: Now) {
         self.clock = now.mono;
+        self.wall = now.wall;
         let mut by_pool: Map<PoolName, Candidates> = Map::default();
         for (key, job) in &self.jobs {
             if job.state.is_final() || !self.is_job_settled(now.mono, job) {
@@ -120,22 +122,55 @@
     fn place_step(&mut self, now: MonoTime, slots: &mut Vec<Slot>, key: &JobKey, occurrence: usize, step: usize) {
         let Some(job) = self.jobs.get(key) else { return };
         let Some(spec) = job.spec.steps.get(step).cloned() else { return };
+        let queue = job.spec.queue.clone();
+        let tickets = if self.policy.queues.get(&queue).is_some_and(|q| q.needs_advice) {
+            let name = StepName { job: key.clone(), occurrence: number_of(occurrence), step: number_of(step) };
+            let with_room: Vec<WorkerKey> =
+                slots.iter().filter(|s| spec.reserved().fits(&s.free)).map(|s| s.worker.clone()).collect();
+            Some(self.find_tickets(now, &name, &with_room))
+        } else {
+            None
+        };
+        if let Some(tickets) = &tickets {
+            // The step is placed among the workers that it may run on; the others stay open for other steps.
+            let mut allowed: Vec<Slot> = slots.iter().filter(|s| tickets.contains_key(&s.worker)).cloned().collect();
+            self.place_tasks(now, &mut allowed, key, occurrence, step, &spec);
+            for slot in slots.iter_mut() {
+                if let Some(placed) = allowed.iter().find(|s| s.worker == slot.worker) {
+                    *slot = placed.clone();
+                }
+            }
+            return;
+        }
+        self.place_tasks(now, slots, key, occurrence, step, &spec);
+    }
+
+    fn place_tasks(
+        &mut self,
+        now: MonoTime,
+        slots: &mut Vec<Slot>,
+        key: &JobKey,
+        occurrence: usize,
+        step: usize,
+        spec: &Step,
+    ) {
+        let Some(job) = self.jobs.get(key) else { return };
         if spec.gang {
-            self.place_gang(now, slots, key, occurrence, step, &spec);
+            self.place_gang(now, slots, key, occurrence, step, spec);
             return;
         }
         let tasks = &job.occurrences[occurrence].steps[step].tasks;
         let waiting: Vec<usize> = tasks.iter().enumerate().filter(|(_, t)| t.is_waiting()).map(|(i, _)| i).collect();
         let mut counts = self.count_on_workers(key, occurrence, step);
         for index in waiting {
-            if !self.has_team_room(key, &spec) {
+            if !self.has_team_room(key, spec) {
                 return;
             }
             let name = task_name(key, occurrence, step, index);
-            let Some(at) = self.choose_slot(slots, &spec, &name, &counts) else {
+            let Some(at) = self.choose_slot(slots, spec, &name, &counts) else {
                 if spec.lasting {
                     // Room that comes free on this worker is kept for the task instead of going to smaller ones.
-                    reserve_slot(slots, &spec);
+                    reserve_slot(slots, spec);
                     continue;
                 }
                 return;
@@ -153,7 +188,7 @@
     fn place_gang(
         &mut self,
         now: MonoTime,
-        slots: &mut Vec<Slot>,
+        slots: &mut [Slot],
         key: &JobKey,
         occurrence: usize,
         step: usize,
@@ -178,7 +213,7 @@
         // Without room on one rack the gang runs slower on several.
         let attempts = racks.into_iter().map(Some).chain([None]);
         for rack in attempts {
-            let mut trial = slots.clone();
+            let mut trial = slots.to_vec();
             if let Some(rack) = &rack {
                 trial.retain(|s| self.workers.get(&s.worker).is_some_and(|w| w.rack() == rack.as_ref()));
             }
@@ -288,10 +323,19 @@
         self.order_start(now, name, number);
     }
 
+    /// Ticket for a run, on queues that need one.
+    fn ticket_of(&self, name: &TaskName, number: u32) -> Option<smol_str::SmolStr> {
+        let step = StepName { job: name.job.clone(), occurrence: name.occurrence, step: name.step };
+        let advised = self.advice.get(&step)?;
+        let run = self.jobs.get(&name.job)?.task(name)?.runs.iter().find(|r| r.number == number)?;
+        advised.ticket(&run.worker)
+    }
+
     /// Orders the start of a run, the first time or again.
     pub(super) fn order_start(&mut self, now: MonoTime, name: &TaskName, number: u32) {
         let lease = self.lease_length();
         let payload = self.payload_of(name);
+        let ticket = self.ticket_of(name, number);
         let Some(task) = self.jobs.get_mut(&name.job).and_then(|j| j.task_mut(name)) else { return };
         let checkpoint = task.checkpoint.clone();
         let Some(run) = task.runs.iter_mut().find(|r| r.number == number) else { return };
@@ -307,7 +351,7 @@
             payload,
             lease_until,
             checkpoint,
-            ticket: None,
+            ticket,
         };
         self.orders.push(Order::Start(start));
     }
@@ -321,7 +365,10 @@
     }
 }
 
+fn number_of(at: usize) -> u32 {
+    u32::try_from(at).unwrap_or(u32::MAX)
+}
+
 pub(super) fn task_name(job: &JobKey, occurrence: usize, step: usize, index: usize) -> TaskName {
-    let number = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
-    TaskName { job: job.clone(), occurrence: number(occurrence), step: number(step), index: number(index) }
+    TaskName { job: job.clone(), occurrence: number_of(occurrence), step: number_of(step), index: number_of(index) }
 }
--- a/crates/core/src/sched/policy.rs
+++ b/crates/core/src/sched/policy.rs
@@ -17,12 +17,21 @@
     pub stretch: f64,
     /// Time added to the stretched chain in the objective.
     pub allowance: Millis,
+    /// Whether a service has to be asked which workers may run a step.
+    pub needs_advice: bool,
 }
 
 impl Default for QueuePolicy {
     fn default() -> Self {
         // Used for jobs whose queue a configuration has removed.
-        Self { pool: PoolName::default(), priority: 1, max_attempts: 3, stretch: 2.0, allowance: Millis(1_000) }
+        Self {
+            pool: PoolName::default(),
+            priority: 1,
+            max_attempts: 3,
+            stretch: 2.0,
+            allowance: Millis(1_000),
+            needs_advice: false,
+        }
     }
 }
 
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -6,6 +6,7 @@
 use smol_str::SmolStr;
 
 use crate::map::{Map, Set};
+use crate::sched::advice::{Advised, StepName};
 use crate::sched::graph::{JobKey, JobSpec, PoolName, QueueName, Resources, TaskName, TeamName, VmKey, WorkerKey};
 use crate::sched::job::{Job, Phase, Run, Task};
 use crate::sched::order::{EndKind, FencingToken, Order, RunLists, StartAnswer, WorkerReport};
@@ -116,6 +117,13 @@
     Ended(JobRecord),
 }
 
+/// A job that has ended.
+#[derive(Clone, Copy, Debug)]
+struct EndedJob {
+    state: JobState,
+    at: WallTime,
+}
+
 /// State of a scheduler.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -128,7 +136,7 @@
     pub(super) teams: Map<TeamName, Resources>,
     pub(super) orders: Vec<Order>,
     pub(super) events: Vec<Event>,
-    ended: Map<JobKey, (QueueName, JobState)>,
+    ended: Map<JobKey, EndedJob>,
     dirty: VecDeque<JobKey>,
     unsettled: Set<WorkerKey>,
     settle_by: MonoTime,
@@ -136,6 +144,8 @@
     is_settled: bool,
     roster_size: usize,
     pub(super) clock: MonoTime,
+    pub(super) wall: WallTime,
+    pub(super) advice: Map<StepName, Advised>,
 }
 
 impl Scheduler {
@@ -160,6 +170,8 @@
             is_settled: false,
             roster_size: 0,
             clock: MonoTime(0),
+            wall: WallTime(0),
+            advice: Map::default(),
         }
     }
 
@@ -199,8 +211,20 @@
     }
 
     /// Adds a job that has ended.
-    pub fn add_ended(&mut self, key: JobKey, queue: QueueName, state: JobState) {
-        self.ended.insert(key, (queue, state));
+    pub fn add_ended(&mut self, key: JobKey, state: JobState, at: WallTime) {
+        self.ended.insert(key, EndedJob { state, at });
+    }
+
+    /// Ended jobs whose state was kept for long enough.
+    #[must_use]
+    pub fn find_expired(&self, wall: WallTime, retention: Millis, most: usize) -> Vec<JobKey> {
+        let expired = self.ended.iter().filter(|(_, job)| wall.since(job.at) > retention);
+        expired.map(|(key, _)| key.clone()).take(most).collect()
+    }
+
+    /// Forgets a job whose record was deleted.
+    pub fn forget_job(&mut self, key: &JobKey) {
+        self.ended.remove(key);
     }
 
     /// Notes the mark of a cancelled job.
@@ -240,8 +264,8 @@
     /// State to show for a job; `None` if it is unknown here. A final state is shown once it is stored.
     #[must_use]
     pub fn state_of(&self, key: &JobKey) -> Option<JobState> {
-        if let Some((_, state)) = self.ended.get(key) {
-            return Some(*state);
+        if let Some(job) = self.ended.get(key) {
+            return Some(job.state);
         }
         let job = self.jobs.get(key)?;
         Some(match job.state {
@@ -312,7 +336,8 @@
         if self.jobs.get(key).is_some_and(is_over)
             && let Some(job) = self.jobs.remove(key)
         {
-            self.ended.insert(key.clone(), (job.spec.queue, job.state));
+            self.advice.retain(|step, _| step.job != *key);
+            self.ended.insert(key.clone(), EndedJob { state: job.state, at: self.wall });
         }
     }
 
@@ -485,6 +510,7 @@
     /// Takes the lists of a worker. `sent` is the time at which the look was sent.
     pub fn take_lists(&mut self, now: Now, key: &WorkerKey, sent: MonoTime, lists: RunLists) {
         self.clock = now.mono;
+        self.wall = now.wall;
         let Some(worker) = self.workers.get_mut(key) else { return };
         if worker.read_clock(now.mono, lists.clock, lists.born) {
             self.events.push(Event::WorkerReborn { worker: key.clone() });
--- a/crates/core/tests/sched/life.rs
+++ b/crates/core/tests/sched/life.rs
@@ -1,6 +1,6 @@
 //! Life of a job under one scheduler.
 
-use carawaybarrow_core::sched::graph::{JobKey, Schedule, TeamName};
+use carawaybarrow_core::sched::graph::{JobKey, Schedule, TeamName, WorkerKey};
 use carawaybarrow_core::sched::order::{Order, StartAnswer};
 use carawaybarrow_core::sched::progress::JobState;
 use carawaybarrow_core::units::{Millis, MonoTime, WallTime};
@@ -141,3 +141,38 @@
     model.run_for(1_000);
     assert_eq!(model.running(), 0, "two workers hold two members");
 }
+
+/// Guards against a start on a worker that the queue's policy does not allow, and one without a ticket.
+#[test]
+fn advised_steps_run_only_where_they_may() {
+    let mut model = Model::new(3);
+    let mut policy = super::model::policy();
+    policy.version = 2;
+    for queue in policy.queues.values_mut() {
+        queue.needs_advice = true;
+    }
+    model.scheduler.set_policy(std::sync::Arc::new(policy));
+    model.work = 30_000;
+    model.accept("j", job(vec![step(4, 1_000)]));
+    model.run_for(500);
+    assert_eq!(model.running(), 0, "nobody has answered yet");
+    model.advice = Some((vec![(WorkerKey::new("w1"), "ticket".into())], Millis(3_000)));
+    model.run_for(1_500);
+    assert_eq!(model.worker(1).runs.len(), 4);
+    assert_eq!(model.running(), 4);
+}
+
+/// Guards against records that stay in the store for ever, and a state that is forgotten too early.
+#[test]
+fn ended_jobs_expire_after_their_retention() {
+    let mut model = Model::new(1);
+    model.accept("j", job(vec![step(1, 1_000)]));
+    model.run_for(1_000);
+    assert_eq!(model.state("j"), Some(JobState::Completed));
+    let ended = model.time().wall;
+    assert_eq!(model.scheduler.find_expired(ended, Millis(5_000), 10), []);
+    let later = ended + Millis(6_000);
+    assert_eq!(model.scheduler.find_expired(later, Millis(5_000), 10), [JobKey::new("j")]);
+    model.scheduler.forget_job(&JobKey::new("j"));
+    assert_eq!(model.state("j"), None);
+}
--- a/crates/core/tests/sched/model.rs
+++ b/crates/core/tests/sched/model.rs
@@ -162,12 +162,20 @@
     pub failed: BTreeMap<TaskName, u32>,
     /// Run time of every task.
     pub work: u64,
+    /// Answer to every question for advice.
+    pub advice: Option<(Vec<(WorkerKey, smol_str::SmolStr)>, Millis)>,
 }
 
 pub fn policy() -> Policy {
     let mut policy = Policy { version: 1, ..Policy::default() };
-    let rules =
-        QueuePolicy { pool: PoolName::new("p"), priority: 0, max_attempts: 2, stretch: 2.0, allowance: Millis(500) };
+    let rules = QueuePolicy {
+        pool: PoolName::new("p"),
+        priority: 0,
+        max_attempts: 2,
+        stretch: 2.0,
+        allowance: Millis(500),
+        needs_advice: false,
+    };
     policy.queues.insert(QueueName::new("q"), rules);
     let ceiling = Resources { cpu: 8_000, ..Resources::default() };
     policy.teams.insert(TeamName::new("t"), TeamPolicy { weight: 1, ceiling });
@@ -234,6 +242,7 @@
             done: BTreeMap::new(),
             failed: BTreeMap::new(),
             work: 400,
+            advice: None,
         };
         model.scheduler.take_roster(MonoTime(START), Vec::new());
         model.list_workers();
@@ -271,7 +280,7 @@
                     let progress = self.store.progress.get(&key).cloned().unwrap_or_default();
                     self.scheduler.add_job(self.time(), key, spec, progress, created < token.0);
                 }
-                JobRecord::Ended { queue, state, .. } => self.scheduler.add_ended(key, queue, state),
+                JobRecord::Ended { state, at, .. } => self.scheduler.add_ended(key, state, at),
             }
         }
         for key in self.store.cancelled.clone() {
@@ -338,6 +347,7 @@
                 let is_taken = !worker.is_cut && worker.stop(&task, run, token);
                 self.scheduler.take_stop_answer(now, &task, run, is_taken);
             }
+            Order::Ask { step, .. } => self.scheduler.take_advice(now, &step, self.advice.clone()),
             Order::Pace { task, run, .. } => self.scheduler.take_pace_answer(&task, run, true),
         }
     }
