--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -17,7 +17,7 @@
 };
 use crate::node::term::Term;
 use crate::node::view::{self, View};
-use crate::node::{links, listing, waves, writer};
+use crate::node::{links, listing, vm_orders, writer};
 
 /// Length of the scheduler's lease; shorter ones end in short outages, longer ones keep the pools without a scheduler.
 const TERM_LEASE: Duration = Duration::from_millis(1_500);
@@ -82,7 +82,7 @@
         task::spawn(writer::expire_jobs(Arc::clone(&term)));
         task::spawn(listing::watch_jobs(Arc::clone(&term)));
         task::spawn(listing::list_workers(Arc::clone(&term)));
-        task::spawn(waves::run(Arc::clone(&term)));
+        task::spawn(vm_orders::run(Arc::clone(&term)));
         task::spawn(links::tick(Arc::clone(&term)));
     });
 }
--- a/crates/carawaybarrow/src/node/mod.rs
+++ b/crates/carawaybarrow/src/node/mod.rs
@@ -1,8 +1,10 @@
 //! An entry on the platform: serves callers, and schedules all pools while it holds the scheduler's lease.
 //!
-//! Modules, each importing only from those before it: `records` (keys and documents of the store), `peers` (calls
-//! between entries), `view` (configuration, its age, and who schedules), `term` and its loops (`links`, `writer`,
-//! `listing`, `waves`), `callers` (requests), `run` (start and stop).
+//! - `run`, `election`: start and stop of the process, begin and end of a term.
+//! - `view`, `members`, `records`: what the entry knows, and the documents of the store.
+//! - `callers`, `writes`, `peers`: requests of callers, and calls between entries.
+//! - `term`, `links`, `writer`, `listing`, `vm_orders`: state of a term and the loops that feed it.
+//! - `meters`: counters and histograms.
 
 pub mod callers;
 pub mod election;
@@ -15,6 +17,6 @@
 pub mod run;
 pub mod term;
 pub mod view;
-pub mod waves;
+pub mod vm_orders;
 pub mod writer;
 pub mod writes;
--- a/crates/core/src/sched/balance.rs
+++ b/crates/core/src/sched/balance.rs
@@ -68,14 +68,6 @@
     idle_since: Map<WorkerKey, MonoTime>,
 }
 
-impl Balance {
-    /// Whether VMs are on their way.
-    #[must_use]
-    pub fn is_moving(&self) -> bool {
-        !self.moving.is_empty()
-    }
-}
-
 impl Scheduler {
     /// Decides which VMs move now. Their workers get no more tasks.
     pub fn plan_moves(&mut self, now: MonoTime, balance: &mut Balance, listed: &[Vm]) -> Vec<Move> {
--- a/crates/core/src/sched/ends.rs
+++ b/crates/core/src/sched/ends.rs
@@ -1,10 +1,11 @@
 //! What the lists of workers change: ends, adopted runs and runs that are gone.
 
+use crate::sched::event::Event;
 use crate::sched::graph::{JobKey, TaskName, WorkerKey};
 use crate::sched::job::{Phase, Run};
 use crate::sched::order::{EndKind, EndRow, Order, RunRow};
 use crate::sched::progress::JobState;
-use crate::sched::scheduler::{Event, ORDER_RETRY, Scheduler};
+use crate::sched::scheduler::{ORDER_RETRY, Scheduler};
 use crate::units::{Millis, MonoTime};
 
 /// Time after which a stop without effect is ordered again.
--- a/crates/core/src/sched/job.rs
+++ b/crates/core/src/sched/job.rs
@@ -181,13 +181,6 @@
         self.occurrences.push(Occurrence { steps, due });
     }
 
-    /// Time of the next occurrence that is not yet due.
-    #[must_use]
-    pub fn next_due(&self) -> Option<WallTime> {
-        let next = u32::try_from(self.occurrences.len()).ok()?;
-        (next < self.spec.times()).then(|| self.spec.due(next))
-    }
-
     /// A task by name.
     #[must_use]
     pub fn task(&self, name: &TaskName) -> Option<&Task> {
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod advice;
 pub mod balance;
+pub mod event;
 pub mod graph;
 pub mod job;
 pub mod order;
@@ -17,3 +18,4 @@
 
 mod ends;
 mod plan;
+mod roster;
--- a/crates/core/src/sched/policy.rs
+++ b/crates/core/src/sched/policy.rs
@@ -64,18 +64,12 @@
     pub max_lease: Millis,
     /// Longest time of a stop.
     pub stop_limit: Millis,
-    /// Time that members of a gang wait for one another.
-    pub gang_limit: Millis,
-    /// Time after which a task that is away counts against its step.
-    pub away_notice: Millis,
     /// Time for which a VM is away at its upkeep.
     pub upkeep: Millis,
     /// Time for which a VM is away when it changes its pool.
     pub migration: Millis,
     /// Time that must pass between two holders of orders to one VM.
     pub order_lease: Millis,
-    /// Factor of a task's run time away from its data.
-    pub remote_factor_percent: u32,
 }
 
 impl Default for Bounds {
@@ -83,12 +77,9 @@
         Self {
             max_lease: Millis(6_000),
             stop_limit: Millis(900),
-            gang_limit: Millis(3_000),
-            away_notice: Millis(4_500),
             upkeep: Millis(2_000),
             migration: Millis(1_500),
             order_lease: Millis(3_000),
-            remote_factor_percent: 200,
         }
     }
 }
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -7,12 +7,12 @@
 
 use crate::map::{Map, Set};
 use crate::sched::advice::{Advised, StepName};
-use crate::sched::graph::{JobKey, JobSpec, PoolName, QueueName, Resources, TaskName, TeamName, VmKey, WorkerKey};
+use crate::sched::event::Event;
+use crate::sched::graph::{JobKey, JobSpec, PoolName, QueueName, Resources, TaskName, TeamName, WorkerKey};
 use crate::sched::job::{Job, Phase, Run, Task};
-use crate::sched::order::{EndKind, FencingToken, Order, RunLists, StartAnswer, WorkerReport};
+use crate::sched::order::{FencingToken, Order, RunLists, StartAnswer};
 use crate::sched::policy::{Bounds, Policy, QueuePolicy};
 use crate::sched::progress::{JobRecord, JobState, Progress};
-use crate::sched::upkeep::{Vm, VmState};
 use crate::sched::worker::{MAX_WAIT, Worker};
 use crate::units::{Millis, MonoTime, WallTime};
 
@@ -23,15 +23,6 @@
 /// Time after which an order without an answer is sent again.
 pub const ORDER_RETRY: Millis = Millis(150);
 
-/// Time within which a worker that is up reports itself again after an outage of the store.
-pub const RELIST_LIMIT: Millis = Millis(2_500);
-
-/// Longest time for which a scheduler that lost its term may go on extending leases: one look and its answer.
-pub const DEPOSED_LIMIT: Millis = Millis(2_000);
-
-/// Time by which the list of VMs may be behind.
-const VM_LIST_LAG: Millis = Millis(2_000);
-
 /// Run numbers that one term may use for a task; a later term starts above them.
 pub const RUNS_PER_TERM: u32 = 1_000;
 
@@ -44,59 +35,6 @@
     pub wall: WallTime,
 }
 
-/// Something that changed what the scheduler believes, for the log.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Event {
-    /// A run ended.
-    RunEnded {
-        /// Task.
-        task: TaskName,
-        /// Number of the run.
-        run: u32,
-        /// Worker.
-        worker: WorkerKey,
-        /// How.
-        kind: EndKind,
-    },
-    /// A job reached a final state.
-    JobEnded {
-        /// Job.
-        job: JobKey,
-        /// State.
-        state: JobState,
-    },
-    /// A run of an earlier scheduler was found on a worker.
-    RunAdopted {
-        /// Task.
-        task: TaskName,
-        /// Number of the run.
-        run: u32,
-        /// Worker.
-        worker: WorkerKey,
-    },
-    /// A worker lives anew: what it ran is gone.
-    WorkerReborn {
-        /// Worker.
-        worker: WorkerKey,
-    },
-    /// All leases of a silent worker have ended.
-    WorkerLapsed {
-        /// Worker.
-        worker: WorkerKey,
-        /// Runs that were lost.
-        runs: usize,
-    },
-    /// A worker failed several tasks in a row and gets no more for a while.
-    WorkerQuarantined {
-        /// Worker.
-        worker: WorkerKey,
-        /// Failures in a row.
-        failures: u32,
-    },
-    /// Every worker that may hold runs of an earlier term has answered, or its leases have ended.
-    Settled,
-}
-
 /// Content of a look at a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Look {
@@ -138,11 +76,11 @@
     pub(super) events: Vec<Event>,
     ended: Map<JobKey, EndedJob>,
     dirty: VecDeque<JobKey>,
-    unsettled: Set<WorkerKey>,
-    settle_by: MonoTime,
-    deposed_by: MonoTime,
-    is_settled: bool,
-    roster_size: usize,
+    pub(super) unsettled: Set<WorkerKey>,
+    pub(super) settle_by: MonoTime,
+    pub(super) deposed_by: MonoTime,
+    pub(super) is_settled: bool,
+    pub(super) roster_size: usize,
     pub(super) clock: MonoTime,
     pub(super) wall: WallTime,
     pub(super) advice: Map<StepName, Advised>,
@@ -341,135 +279,6 @@
         }
     }
 
-    /// Takes the workers that the store lists.
-    pub fn set_workers(&mut self, now: MonoTime, listed: Vec<WorkerReport>) {
-        let mut seen = Set::default();
-        for report in listed {
-            seen.insert(report.key.clone());
-            match self.workers.get_mut(&report.key) {
-                Some(worker) => {
-                    // The entry of a worker whose VM is down stays until its heartbeats are missed.
-                    worker.is_listed = !worker.is_gone;
-                    worker.report = report;
-                }
-                None => {
-                    self.workers.insert(report.key.clone(), Worker::new(report, true, now));
-                }
-            }
-        }
-        for (key, worker) in &mut self.workers {
-            worker.is_listed &= seen.contains(key);
-        }
-        self.drop_replaced(now);
-    }
-
-    /// Gives up workers whose VM or address another worker has now: their lives have ended.
-    fn drop_replaced(&mut self, now: MonoTime) {
-        let listed: Vec<&WorkerReport> = self.workers.values().filter(|w| w.is_listed).map(|w| &w.report).collect();
-        let is_replaced = |old: &WorkerReport| {
-            listed.iter().any(|new| {
-                let same_vm = new.vm.is_some() && new.vm == old.vm;
-                new.key != old.key && (same_vm || new.address == old.address)
-            })
-        };
-        let unlisted = self.workers.values().filter(|w| !w.is_listed && is_replaced(&w.report));
-        let replaced: Vec<WorkerKey> = unlisted.map(|w| w.report.key.clone()).collect();
-        for key in replaced {
-            self.note_other_instance(now, &key);
-            self.workers.remove(&key);
-        }
-    }
-
-    /// Gives up workers that the list of VMs shows to be gone: their VM is down, or runs another worker, or none.
-    /// `asked` is the time at which the list was asked for.
-    pub fn note_vms(&mut self, asked: MonoTime, now: MonoTime, vms: &[Vm]) {
-        let by_key: Map<&VmKey, &Vm> = vms.iter().map(|vm| (&vm.key, vm)).collect();
-        let is_gone = |worker: &&Worker| {
-            let Some(vm) = worker.report.vm.as_ref().and_then(|vm| by_key.get(vm)) else { return false };
-            // The list may not show a worker yet that has just come up.
-            let is_old = worker.known_since + VM_LIST_LAG < asked;
-            let has_other = vm.worker.as_ref().is_some_and(|w| *w != worker.report.key);
-            let is_away = matches!(vm.state, VmState::Moving | VmState::Upkeep);
-            is_old && (vm.state == VmState::Down || (!worker.is_listed && (has_other || is_away)))
-        };
-        let gone: Vec<WorkerKey> = self.workers.values().filter(is_gone).map(|w| w.report.key.clone()).collect();
-        for key in gone {
-            if self.workers.get(&key).is_some_and(|w| !w.is_gone) {
-                self.note_other_instance(now, &key);
-            }
-            if let Some(worker) = self.workers.get_mut(&key) {
-                worker.is_gone = true;
-            }
-        }
-    }
-
-    /// Adds the workers on which earlier terms may have started runs, and waits for them.
-    pub fn take_roster(&mut self, now: MonoTime, roster: Vec<WorkerReport>) {
-        self.roster_size = roster.len();
-        for report in roster {
-            let key = report.key.clone();
-            let worker = self.workers.entry(key.clone()).or_insert_with(|| Worker::new(report, false, MonoTime(0)));
-            worker.is_on_roster = true;
-            self.unsettled.insert(key);
-        }
-        let slowest = self.bounds.max_lease.0.min(TASK_LEASE.0 + 1_000) * 102 / 100;
-        self.deposed_by = now + DEPOSED_LIMIT;
-        self.settle_by = now + DEPOSED_LIMIT + Millis(slowest);
-        self.is_settled = false;
-        self.check_settled(now);
-    }
-
-    pub(super) fn check_settled(&mut self, now: MonoTime) {
-        if !self.is_settled && (self.unsettled.is_empty() || now >= self.settle_by) {
-            self.is_settled = true;
-            self.unsettled.clear();
-            self.events.push(Event::Settled);
-        }
-    }
-
-    /// Whether all workers that may hold runs of earlier terms have answered.
-    #[must_use]
-    pub const fn is_settled(&self) -> bool {
-        self.is_settled
-    }
-
-    /// Whether a job's tasks can't be running by orders of an earlier term.
-    pub(super) fn is_job_settled(&self, now: MonoTime, job: &Job) -> bool {
-        // The last scheduler may have heard of a newer job too, until a worker has told it that its term is over.
-        let is_new = !job.is_inherited && now >= self.deposed_by;
-        is_new || (self.is_pool_settled(&job.spec.pool) && self.is_pool_settled(self.pool_of(&job.spec)))
-    }
-
-    /// Whether all workers of a pool that may hold runs of earlier terms have answered.
-    fn is_pool_settled(&self, pool: &PoolName) -> bool {
-        self.is_settled
-            || !self.unsettled.iter().any(|key| self.workers.get(key).is_some_and(|w| w.report.pool == *pool))
-    }
-
-    /// Whether the store's roster differs from the workers that may hold runs.
-    #[must_use]
-    pub fn is_roster_outdated(&self) -> bool {
-        let is_missing = self.workers.values().any(|w| w.is_listed && !w.is_on_roster);
-        is_missing || (self.is_settled && self.roster_size > self.roster().len())
-    }
-
-    /// Workers to be put on the roster.
-    #[must_use]
-    pub fn roster(&self) -> Vec<WorkerReport> {
-        let may_hold = |w: &&Worker| w.is_listed || !w.runs.is_empty() || self.unsettled.contains(&w.report.key);
-        self.workers.values().filter(may_hold).map(|w| w.report.clone()).collect()
-    }
-
-    /// Notes that the store's roster names these workers.
-    pub fn note_roster(&mut self, roster: &[WorkerReport]) {
-        self.roster_size = roster.len();
-        for report in roster {
-            if let Some(worker) = self.workers.get_mut(&report.key) {
-                worker.is_on_roster = true;
-            }
-        }
-    }
-
     /// All workers.
     pub fn workers(&self) -> impl Iterator<Item = &Worker> {
         self.workers.values()
