End no runs by an accepted order of upkeep alone

A successor whose predecessor could not store the progress of the wave ordered such a VM again, took the answer for the end of everything on it, and started the tasks elsewhere. The runs now go on until the worker's lists or the list of VMs say otherwise.

--- a/crates/core/src/sched/upkeep.rs
+++ b/crates/core/src/sched/upkeep.rs
@@ -224,16 +224,9 @@
         ready
     }
 
-    /// Takes the answer to an order of a wave.
+    /// Takes the answer to an order of a wave. An accepted order may have been carried out in an earlier term, so the
+    /// worker's runs go on until its lists or the list of VMs say otherwise.
     pub fn take_upkeep_answer(&mut self, now: MonoTime, wave: &mut Wave, vm: &VmKey, answer: VmAnswer) {
-        if answer == VmAnswer::Accepted {
-            // Everything on the VM has ended with the order.
-            let on_vm = self.workers.values().filter(|w| w.is_withheld && w.report.vm.as_ref() == Some(vm));
-            let ended: Vec<WorkerKey> = on_vm.map(|w| w.report.key.clone()).collect();
-            for worker in ended {
-                self.drop_runs(now, &worker, |_| true);
-            }
-        }
         let step = match answer {
             VmAnswer::Accepted => VmStep::Down(now),
             VmAnswer::NoSuchVm | VmAnswer::NotInWave => VmStep::Gone,
--- a/crates/core/tests/sched/capacity.rs
+++ b/crates/core/tests/sched/capacity.rs
@@ -194,3 +194,30 @@
     assert_eq!(model.running(), 1);
     assert!(model.done.is_empty());
 }
+
+/// Guards against runs that are given up by an order that was carried out before: the VM had its upkeep in an earlier
+/// term, which could not store it, and the platform accepts the repeated order without effect (TWICE on trouble-3 of
+/// Stillwater and on hunt-d5e2-39 of Le Guennec).
+#[test]
+fn accepted_order_ends_no_runs_by_itself() {
+    let mut model = Model::new(2);
+    model.work = 20_000;
+    model.accept("j", job(vec![step(1, 1_000)]));
+    model.run_for(500);
+    let holder = usize::from(model.worker(0).runs.is_empty());
+    let progress = WaveProgress { started: model.time().wall, ordered: Vec::new() };
+    let mut request = wave(&model, 2);
+    request.vms.retain(|vm| *vm == VmKey::new(format!("m{holder}")));
+    let mut wave = Wave::new(request, model.time(), &progress);
+    for _ in 0..80 {
+        let listed = vms(&model);
+        for vm in model.scheduler.advance_wave(MonoTime(model.now), &mut wave, &listed) {
+            model.scheduler.take_upkeep_answer(MonoTime(model.now), &mut wave, &vm, VmAnswer::Accepted);
+            model.advance();
+            model.check();
+        }
+        model.run_for(50);
+    }
+    assert_eq!(model.worker(holder).runs.len(), 1, "the other worker starts nothing");
+    assert!(wave.down() == 1 || wave.is_complete());
+}
