Let strong entries schedule first, and follow workers by a watch

Whichever entry came first scheduled. On a weak one the lists of 350 workers (each 0.25 s) and of 350 VMs (each 0.15 s) filled the link: the entry used 0.027 of a core and its leases lapsed. An entry now leaves the place to clearly stronger ones for 1.2 s, a stronger one asks a weaker scheduler for its term after 3 s, workers are followed by a watch, and lists of VMs take a tenth of the link at most.

--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -1,20 +1,23 @@
-//! Takes the scheduler's lease when nobody holds it, and keeps it.
+//! Takes the scheduler's lease when nobody holds it, keeps it, and hands it to stronger entries.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::task;
 use carawaybarrow_core::Map;
+use carawaybarrow_core::sched::candidacy::HANDOVER_AGE;
 use carawaybarrow_core::sched::graph::JobKey;
 use carawaybarrow_core::sched::order::FencingToken;
 use carawaybarrow_core::sched::progress::{JobRecord, Progress};
 use carawaybarrow_core::sched::scheduler::Scheduler;
+use carawaybarrow_core::units::MonoTime;
 use carawaybarrow_platform::store::{Change, Changed, Item, LeaseId, StoreError, StoreRevision};
 use snafu::Snafu;
 
 use crate::node::records::{
     self, JOB_PREFIX, JobItem, Owner, PROGRESS_PREFIX, RELEASED_KEY, ROSTER_KEY, SCHEDULER_KEY, TERMS_KEY,
 };
+use crate::node::peers::Peers;
 use crate::node::term::Term;
 use crate::node::view::{self, View};
 use crate::node::{links, listing, vm_orders, writer};
@@ -48,25 +51,61 @@
 }
 
 /// Probes the store, and schedules while nobody else does.
-pub async fn run(view: Arc<View>, incarnation: u64) {
+pub async fn run(view: Arc<View>, peers: Arc<Peers>, incarnation: u64) {
+    let mut free_since = None;
+    let mut weak_since: Option<(u32, MonoTime)> = None;
     loop {
         let is_answered = view.probe().await;
         if view.is_stopping() {
             return;
         }
+        let now = view::now().mono;
+        let owner = view.scheduler();
         // The key of an earlier life of this entry needs no wait for its lease: that life has ended.
-        let is_free = view.scheduler().is_none_or(|o| o.entry == view.settings.entry && o.incarnation != incarnation);
+        let is_free = owner.as_ref().is_none_or(|o| o.entry == view.settings.entry && o.incarnation != incarnation);
         if is_answered && is_free && view.configuration().is_some() && view.term().is_none() {
-            match try_begin(&view, incarnation).await {
-                Ok(Some(term)) => begin(term),
-                Ok(None) => {}
-                Err(e) => log::warn!(error:% = e; "no term begun"),
+            let since = *free_since.get_or_insert(now);
+            if view.stand_back().is_some_and(|wait| now.since(since) >= wait) {
+                match try_begin(&view, incarnation).await {
+                    Ok(Some(term)) => begin(term),
+                    Ok(None) => {}
+                    Err(e) => log::warn!(error:% = e; "no term begun"),
+                }
+            }
+        } else {
+            free_since = None;
+        }
+        match owner.filter(|o| is_answered && view.settings.strength.is_clearly_above(&o.strength)) {
+            Some(owner) => {
+                let seen = weak_since.filter(|(term, _)| *term == owner.term).unwrap_or((owner.term, now));
+                weak_since = Some(seen);
+                if now.since(seen.1) >= HANDOVER_AGE && peers.ask_handover(owner.term).await {
+                    log::info!(scheduler:% = owner.entry, term = owner.term; "the term is handed over to this entry");
+                    continue;
+                }
             }
+            None => weak_since = None,
         }
         task::sleep(view::PROBE_INTERVAL).await;
     }
 }
 
+/// Ends the term of an entry that stops. The next scheduler may order VMs at once, as nobody else does any more.
+pub async fn finish_last(term: &Arc<Term>, reason: &str) {
+    term.end(reason);
+    writer::flush(term).await;
+    note_released(term).await;
+    release(term).await;
+}
+
+/// Ends the term of an entry that goes on. To the platform it is a holder of orders about VMs that may return, so the
+/// next scheduler waits before its first one.
+pub async fn finish(term: &Arc<Term>, reason: &str) {
+    term.end(reason);
+    writer::flush(term).await;
+    release(term).await;
+}
+
 fn begin(term: Arc<Term>) {
     log::info!(term = term.owner.term, token = term.revision.0; "term begun");
     term.view.set_term(Some(Arc::clone(&term)));
@@ -81,14 +120,14 @@
         task::spawn(writer::run(Arc::clone(&term)));
         task::spawn(writer::expire_jobs(Arc::clone(&term)));
         task::spawn(listing::watch_jobs(Arc::clone(&term)));
-        task::spawn(listing::list_workers(Arc::clone(&term)));
+        task::spawn(listing::follow_workers(Arc::clone(&term)));
         task::spawn(vm_orders::run(Arc::clone(&term)));
         task::spawn(links::tick(Arc::clone(&term)));
     });
 }
 
-/// Ends the lease, so that another entry may take over at once.
-pub async fn release(term: &Term) {
+/// Notes that the term ended by itself.
+async fn note_released(term: &Term) {
     let change = Change {
         expected: vec![(SCHEDULER_KEY.to_owned(), term.revision)],
         puts: vec![(RELEASED_KEY.to_owned(), records::write(&term.owner.term), None)],
@@ -100,6 +139,10 @@
             log::info!(term = term.owner.term, answer:? = answer; "the next scheduler is not told that the term was released")
         }
     }
+}
+
+/// Ends the lease, so that another entry may take over at once.
+async fn release(term: &Term) {
     if let Err(e) = term.view.store.end_lease(term.lease, STORE_LIMIT).await {
         log::warn!(error:% = e; "the scheduler's lease was left to lapse");
     }
@@ -121,7 +164,13 @@
     let may_order_at_once = count == 0 || is_own_key || released == Some(count - 1);
     let lease =
         store.grant_lease(TERM_LEASE.max(view.settings.shortest_store_lease.to_duration()), STORE_LIMIT).await?;
-    let owner = Owner { entry: view.settings.entry.clone(), peers: view.settings.peers, incarnation, term: count };
+    let owner = Owner {
+        entry: view.settings.entry.clone(),
+        peers: view.settings.peers,
+        strength: view.settings.strength,
+        incarnation,
+        term: count,
+    };
     let change = Change {
         expected: vec![(SCHEDULER_KEY.to_owned(), view.scheduler_revision()), (TERMS_KEY.to_owned(), terms_revision)],
         puts: vec![
@@ -195,12 +244,12 @@
 async fn load_once(term: &Arc<Term>) -> Result<(), ElectionError> {
     let store = &term.view.store;
     // The ends are read before the jobs: only this term may write them now, and it writes none before it is loaded.
-    let (progress_items, _) = store.list(PROGRESS_PREFIX, STORE_LIMIT).await?;
+    let (progress_items, _) = store.list(PROGRESS_PREFIX, term.list_limit()).await?;
     let roster = match store.get(ROSTER_KEY, STORE_LIMIT).await? {
         Some(Item { value: Some(value), .. }) => records::read_roster(&value)?,
         _ => Vec::new(),
     };
-    let (jobs, as_of) = store.list(JOB_PREFIX, STORE_LIMIT).await?;
+    let (jobs, as_of) = store.list(JOB_PREFIX, term.list_limit()).await?;
     let mut progress: Map<JobKey, Progress> = Map::default();
     {
         let mut revisions = term.progress_revisions.lock().expect("no holder panics");
--- a/crates/carawaybarrow/src/node/listing.rs
+++ b/crates/carawaybarrow/src/node/listing.rs
@@ -5,9 +5,11 @@
 
 use async_std::task;
 use carawaybarrow_core::Set;
+use carawaybarrow_core::sched::directory::{Directory, Listing};
+use carawaybarrow_core::sched::graph::WorkerKey;
 use carawaybarrow_core::sched::order::WorkerReport;
 use carawaybarrow_core::sched::progress::JobRecord;
-use carawaybarrow_core::units::Millis;
+use carawaybarrow_core::units::{Millis, MonoTime};
 use carawaybarrow_platform::store::{Change, Changed, Item, StoreError, StoreRevision, Watched};
 use carawaybarrow_platform::workers::{REPORT_PREFIX, read_report};
 
@@ -25,17 +27,22 @@
 /// Pause between watches, so that several changes share a call.
 const WATCH_PAUSE: Duration = Duration::from_millis(300);
 
-/// Time between readings of the workers' entries. A worker that shuts down says so 2 s before it must get no more.
-const LIST_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest wait of a watch of the workers' entries. It bounds the time for which a connection that fell silent hides
+/// that a worker shuts down; the worker says so 2 s before it must get no more.
+const WORKER_WAIT: Duration = Duration::from_millis(600);
 
-/// Pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Time for the answer beyond that wait.
+const WORKER_LIMIT: Duration = Duration::from_millis(600);
 
-/// Time after an outage in which a missing entry does not mean that its worker has left.
-const RELIST_LIMIT: Millis = Millis(2_300);
+/// Pause between watches of the workers' entries, so that many heartbeats share a call.
+const WORKER_PAUSE: Duration = Duration::from_millis(250);
 
-/// Time without a list that counts as an outage.
-const OUTAGE: Millis = Millis(1_800);
+/// Time after which the scheduler is given all workers again although none has changed: it may have given up one
+/// that is still listed.
+const REFRESH_INTERVAL: Millis = Millis(1_000);
+
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
 /// Follows the jobs.
 pub async fn watch_jobs(term: Arc<Term>) {
@@ -49,7 +56,7 @@
             }
             Ok(Watched::HistoryGone) => {
                 log::info!(after = after.0; "history of the jobs is gone, reading them anew");
-                match term.view.store.list(JOB_PREFIX, STORE_LIMIT).await {
+                match term.view.store.list(JOB_PREFIX, term.list_limit()).await {
                     Ok((items, as_of)) => {
                         take_items(&term, items);
                         after = as_of;
@@ -84,29 +91,36 @@
 }
 
 /// Follows the workers.
-pub async fn list_workers(term: Arc<Term>) {
+pub async fn follow_workers(term: Arc<Term>) {
+    let mut directory = Directory::new(view::now().mono);
     let mut linked = Set::default();
     let mut roster_revision = None;
-    let mut last = view::now().mono;
-    let mut relist_until = last + RELIST_LIMIT;
+    let mut after = None;
+    let mut refreshed = MonoTime(0);
     while !term.is_ended() {
-        match term.view.store.list(REPORT_PREFIX, STORE_LIMIT).await {
-            Ok((items, _)) => {
-                let now = view::now().mono;
-                if now.since(last) > OUTAGE {
-                    relist_until = now + RELIST_LIMIT;
-                }
-                last = now;
-                take_workers(&term, &items, now < relist_until);
-                let known: Vec<_> = term.with(|s| s.workers().map(|w| w.report.key.clone()).collect());
-                linked.retain(|key| known.contains(key));
-                for key in known {
-                    if linked.insert(key.clone()) {
-                        task::spawn(links::run(Arc::clone(&term), key));
-                    }
+        match read_entries(&term, &mut directory, after).await {
+            Ok(as_of) => after = as_of,
+            Err(e) => {
+                log::info!(error:% = e; "no answer about the workers");
+                task::sleep(RETRY_PAUSE).await;
+            }
+        }
+        let now = view::now().mono;
+        let left = directory.drop_missing(now);
+        log_listings(&left);
+        let is_changed = directory.take_changed();
+        if is_changed || now.since(refreshed) >= REFRESH_INTERVAL {
+            refreshed = now;
+            let known: Vec<_> = term.with(|s| {
+                s.set_workers(now, directory.reports());
+                s.workers().map(|w| w.report.key.clone()).collect()
+            });
+            linked.retain(|key| known.contains(key));
+            for key in known {
+                if linked.insert(key.clone()) {
+                    task::spawn(links::run(Arc::clone(&term), key));
                 }
             }
-            Err(e) => log::info!(error:% = e; "no list of the workers"),
         }
         if let Some(policy) = term.view.configuration().map(|c| Arc::clone(&c.policy)) {
             term.with(|s| s.set_policy(policy));
@@ -115,38 +129,70 @@
             store_roster(&term, &mut roster_revision).await;
         }
         term.advance();
-        task::sleep(LIST_INTERVAL).await;
+        task::sleep(WORKER_PAUSE).await;
     }
 }
 
-fn take_workers(term: &Arc<Term>, items: &[Item], keeps_missing: bool) {
-    let mut reports: Vec<WorkerReport> = Vec::with_capacity(items.len());
-    for item in items {
-        let Some(value) = &item.value else { continue };
-        match read_report(&item.key, value) {
-            Ok(report) => reports.push(report),
-            // Other writers leave entries there, which name no worker.
-            Err(e) => log::debug!(key:% = item.key, error:% = e; "an entry names no worker"),
+/// Reads what has changed since a revision, or all entries. Returns the revision to go on from; none if the history
+/// is gone.
+async fn read_entries(
+    term: &Arc<Term>,
+    directory: &mut Directory,
+    after: Option<StoreRevision>,
+) -> Result<Option<StoreRevision>, StoreError> {
+    let store = &term.view.store;
+    let Some(after) = after else {
+        let (items, as_of) = store.list(REPORT_PREFIX, term.list_limit()).await?;
+        let now = view::now().mono;
+        directory.note_answer(now);
+        log_listings(&directory.replace(now, items.iter().filter_map(read_entry).collect()));
+        return Ok(Some(as_of));
+    };
+    match store.watch(REPORT_PREFIX, after, WORKER_WAIT, WORKER_LIMIT).await? {
+        Watched::Events(items, as_of) => {
+            let now = view::now().mono;
+            directory.note_answer(now);
+            for item in &items {
+                let change = match read_entry(item) {
+                    Some(report) => directory.put(report),
+                    None => directory.remove(now, &WorkerKey::new(item.key.trim_start_matches(REPORT_PREFIX))),
+                };
+                log_listings(change.as_slice());
+            }
+            Ok(Some(as_of.max(after)))
+        }
+        Watched::HistoryGone => {
+            log::info!(after = after.0; "history of the workers is gone, reading them anew");
+            Ok(None)
         }
     }
-    term.with(|s| {
-        let before: Vec<(WorkerReport, bool)> = s.workers().map(|w| (w.report.clone(), w.is_listed)).collect();
-        for (old, was_listed) in &before {
-            let new = reports.iter().find(|r| r.key == old.key);
-            match new {
-                None if *was_listed && keeps_missing => reports.push(old.clone()),
-                None if *was_listed => log::info!(worker:% = old.key, pool:% = old.pool; "worker no longer listed"),
-                Some(new) if new.draining && !old.draining => {
-                    log::info!(worker:% = old.key, pool:% = old.pool; "worker drains")
-                }
-                _ => {}
-            }
+}
+
+/// Reads an entry; `None` if it is deleted or names no worker, as those of other writers do.
+fn read_entry(item: &Item) -> Option<WorkerReport> {
+    let value = item.value.as_ref()?;
+    match read_report(&item.key, value) {
+        Ok(report) => Some(report),
+        Err(e) => {
+            log::debug!(key:% = item.key, error:% = e; "an entry names no worker");
+            None
         }
-        for new in reports.iter().filter(|r| !before.iter().any(|(old, _)| old.key == r.key)) {
-            log::info!(worker:% = new.key, pool:% = new.pool, vm:? = new.vm, labels:? = new.labels; "worker listed");
+    }
+}
+
+fn log_listings(changes: &[Listing]) {
+    for change in changes {
+        match change {
+            Listing::Listed(new) => {
+                log::info!(worker:% = new.key, pool:% = new.pool, vm:? = new.vm, labels:? = new.labels; "worker listed");
+            }
+            Listing::Drains(new) => log::info!(worker:% = new.key, pool:% = new.pool; "worker drains"),
+            Listing::Left(old) => log::info!(worker:% = old.key, pool:% = old.pool; "worker no longer listed"),
+            Listing::Missing(old) => {
+                log::info!(worker:% = old.key, pool:% = old.pool; "entry of a worker is missing after an outage");
+            }
         }
-        s.set_workers(view::now().mono, reports);
-    });
+    }
 }
 
 /// Stores the roster: no run starts on a worker before a successor would know of it.
--- a/crates/carawaybarrow/src/node/members.rs
+++ b/crates/carawaybarrow/src/node/members.rs
@@ -1,6 +1,5 @@
-//! Tells other entries where this one is, and learns where they are.
+//! Tells other entries where this one is and how strong, and learns the same of them.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,28 +7,31 @@
 use carawaybarrow_platform::store::{Change, Changed, StoreError, StoreRevision};
 use rand::seq::SliceRandom;
 
-use crate::node::records::{self, ENTRY_PREFIX};
+use crate::node::records::{self, ENTRY_PREFIX, Member};
 use crate::node::view::View;
 
 /// Time for an answer of the store.
 const STORE_LIMIT: Duration = Duration::from_millis(1_000);
 
-/// Time between readings of the addresses. An address that is missing or old costs one attempt of a write.
+/// Time between readings of the records. An address that is missing or old costs one attempt of a write.
 const READ_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Time until the first reading, in which all entries of a new installation have told their addresses.
-const FIRST_READ: Duration = Duration::from_secs(2);
+/// Time until the first reading in a new installation, in which all entries have told their addresses. Elsewhere the
+/// store has them from before.
+const FIRST_READ: Duration = Duration::from_secs(1);
 
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
-/// Follows the addresses until the process ends.
+/// Follows the records until the process ends.
 pub async fn run(view: Arc<View>) {
     while let Err(e) = announce(&view).await {
-        log::info!(error:% = e; "the address of this entry is not stored yet");
+        log::info!(error:% = e; "the record of this entry is not stored yet");
         task::sleep(RETRY_PAUSE).await;
     }
-    task::sleep(FIRST_READ).await;
+    if view.settings.is_first_start {
+        task::sleep(FIRST_READ).await;
+    }
     while !view.is_stopping() {
         match read_others(&view).await {
             Ok(others) => {
@@ -37,7 +39,7 @@
                 task::sleep(READ_INTERVAL).await;
             }
             Err(e) => {
-                log::info!(error:% = e; "the addresses of other entries can't be read");
+                log::info!(error:% = e; "the records of other entries can't be read");
                 task::sleep(RETRY_PAUSE).await;
             }
         }
@@ -47,9 +49,10 @@
 async fn announce(view: &View) -> Result<(), StoreError> {
     let key = records::entry_key(&view.settings.entry);
     let revision = view.store.get(&key, STORE_LIMIT).await?.map_or(StoreRevision::ABSENT, |i| i.revision);
+    let member = Member { peers: view.settings.peers, strength: view.settings.strength };
     let change = Change {
         expected: vec![(key.clone(), revision)],
-        puts: vec![(key, records::write(&view.settings.peers), None)],
+        puts: vec![(key, records::write(&member), None)],
         deletes: Vec::new(),
     };
     match view.store.change(&change, STORE_LIMIT).await? {
@@ -58,14 +61,14 @@
     }
 }
 
-async fn read_others(view: &View) -> Result<Vec<SocketAddr>, StoreError> {
+async fn read_others(view: &View) -> Result<Vec<Member>, StoreError> {
     let (items, _) = view.store.list(ENTRY_PREFIX, STORE_LIMIT).await?;
     let mut others = Vec::with_capacity(items.len());
     for value in items.iter().filter_map(|i| i.value.as_ref()) {
-        match records::read::<SocketAddr>(value) {
-            Ok(address) if address != view.settings.peers => others.push(address),
+        match records::read::<Member>(value) {
+            Ok(member) if member.peers != view.settings.peers => others.push(member),
             Ok(_) => {}
-            Err(e) => log::error!(error:% = e; "the address of an entry can't be read"),
+            Err(e) => log::error!(error:% = e; "the record of an entry can't be read"),
         }
     }
     others.shuffle(&mut rand::rng());
--- a/crates/carawaybarrow/src/node/peers.rs
+++ b/crates/carawaybarrow/src/node/peers.rs
@@ -11,6 +11,7 @@
 use tide::{Request, Response, StatusCode};
 
 use crate::http_client::{Call, Client};
+use crate::node::election;
 use crate::node::records;
 use crate::node::term::Term;
 use crate::node::view::View;
@@ -90,6 +91,11 @@
         self.call(&Call::new(Method::Delete, format!("/jobs/{job}"))).await;
     }
 
+    /// Asks the scheduler to end its term, so that this entry may begin one. Returns whether it did.
+    pub async fn ask_handover(&self, term: u32) -> bool {
+        self.call(&Call::new(Method::Post, format!("/terms/{term}/handover"))).await.is_some()
+    }
+
     /// State of a job; `None` if the scheduler doesn't know it or can't be asked.
     pub async fn state_of(&self, job: &JobKey) -> Option<JobState> {
         if let Some(term) = self.view.term() {
@@ -113,6 +119,7 @@
 pub fn add_routes(app: &mut tide::Server<Arc<View>>) {
     app.at("/jobs/:job").put(put_job).delete(delete_job).get(get_job);
     app.at("/queues/:queue").get(get_queue);
+    app.at("/terms/:term/handover").post(hand_over);
 }
 
 fn term_of(req: &Request<Arc<View>>) -> Result<Arc<Term>, StatusCode> {
@@ -150,6 +157,19 @@
     })
 }
 
+async fn hand_over(req: Request<Arc<View>>) -> tide::Result {
+    let asked = req.param("term").ok().and_then(|t| t.parse().ok());
+    match term_of(&req) {
+        // Without settled pools the next scheduler would have to learn twice what runs.
+        Ok(term) if asked == Some(term.owner.term) && term.with(|s| s.is_settled()) => {
+            election::finish(&term, "a stronger entry asks for it").await;
+            Ok(Response::new(StatusCode::Ok))
+        }
+        Ok(_) => Ok(Response::new(StatusCode::Conflict)),
+        Err(status) => Ok(Response::new(status)),
+    }
+}
+
 async fn get_queue(req: Request<Arc<View>>) -> tide::Result {
     let queue = QueueName::new(req.param("queue").unwrap_or_default());
     Ok(match term_of(&req) {
--- a/crates/carawaybarrow/src/node/records.rs
+++ b/crates/carawaybarrow/src/node/records.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use carawaybarrow_core::sched::candidacy::Strength;
 use carawaybarrow_core::sched::graph::{JobKey, PoolName, Resources, VmKey, WorkerKey};
 use carawaybarrow_core::sched::order::WorkerReport;
 use serde::de::DeserializeOwned;
@@ -20,7 +21,7 @@
 /// Key of the workers that may hold runs.
 pub const ROSTER_KEY: &str = "scheduler/roster";
 
-/// Prefix of the addresses of entries.
+/// Prefix of the records of entries.
 pub const ENTRY_PREFIX: &str = "entries/";
 
 /// Prefix of accepted jobs and of marks that cancel them.
@@ -32,7 +33,7 @@
 /// End of the key of a mark that cancels a job.
 const CANCEL_SUFFIX: &str = "/cancel";
 
-/// Key of the address of an entry.
+/// Key of the record of an entry.
 #[must_use]
 pub fn entry_key(entry: &str) -> String {
     format!("{ENTRY_PREFIX}{entry}")
@@ -81,6 +82,15 @@
     })
 }
 
+/// An entry as the others see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its address for other entries.
+    pub peers: SocketAddr,
+    /// What it has for the work of scheduling.
+    pub strength: Strength,
+}
+
 /// Who schedules.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Owner {
@@ -88,6 +98,8 @@
     pub entry: SmolStr,
     /// Its address for other entries.
     pub peers: SocketAddr,
+    /// What it has for the work of scheduling.
+    pub strength: Strength,
     /// Distinguishes the lives of an entry.
     pub incarnation: u64,
     /// Number of its term, from 0.
--- a/crates/carawaybarrow/src/node/run.rs
+++ b/crates/carawaybarrow/src/node/run.rs
@@ -18,7 +18,7 @@
 use crate::node::peers::{self, Peers};
 use crate::node::view::View;
 use crate::node::writes::{self, Writes};
-use crate::node::{election, members, writer};
+use crate::node::{election, members};
 use crate::serve;
 
 /// Path of the metrics.
@@ -86,12 +86,12 @@
     metrics_app.at(METRICS_PATH).get(answer_metrics);
     let metrics_server = http_server::listen(settings.metrics, metrics_app, Limits::new(0)).await?;
 
-    let mut app = tide::with_state(Front { view: Arc::clone(&view), peers: peer_calls, writes });
+    let mut app = tide::with_state(Front { view: Arc::clone(&view), peers: Arc::clone(&peer_calls), writes });
     callers::add_routes(&mut app);
     let http = http_server::listen_with(settings.callers, app, caller_limits(&view)).await?;
 
     task::spawn(members::run(Arc::clone(&view)));
-    let election = task::spawn(election::run(Arc::clone(&view), incarnation));
+    let election = task::spawn(election::run(Arc::clone(&view), peer_calls, incarnation));
     // The sender lives as long as the process, so a missing signal can't end the wait.
     while let Ok(signal) = signals.recv().await {
         if signal != SIGHUP {
@@ -103,9 +103,7 @@
     view.start_stop();
     election.cancel().await;
     if let Some(term) = view.term() {
-        term.end("the entry stops");
-        writer::flush(&term).await;
-        election::release(&term).await;
+        election::finish_last(&term, "the entry stops").await;
     }
     http.start_stop();
     task::sleep(DRAIN_DELAY).await;
--- a/crates/carawaybarrow/src/node/term.rs
+++ b/crates/carawaybarrow/src/node/term.rs
@@ -25,6 +25,15 @@
 /// Time for an answer of the advice service, which takes its time for each worker.
 const ADVICE_LIMIT: Duration = Duration::from_millis(3_000);
 
+/// Time for a page of a list besides its transfer.
+const LIST_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Largest page of a list, as the store's protocol has it.
+const PAGE_BYTES: u64 = 1 << 20;
+
+/// Times the transfer of a page that its answer may take, as the link has other work too.
+const TRANSFER_FACTOR: u64 = 2;
+
 /// A term.
 #[derive(Debug)]
 pub struct Term {
@@ -86,6 +95,12 @@
         f(&mut self.scheduler.lock().expect("no holder panics"))
     }
 
+    /// Time for one page of a list of the store.
+    #[must_use]
+    pub fn list_limit(&self) -> Duration {
+        LIST_LIMIT + self.view.settings.strength.transfer_time(PAGE_BYTES * TRANSFER_FACTOR).to_duration()
+    }
+
     /// Whether the store's jobs are known.
     #[must_use]
     pub fn is_loaded(&self) -> bool {
--- a/crates/carawaybarrow/src/node/view.rs
+++ b/crates/carawaybarrow/src/node/view.rs
@@ -13,7 +13,7 @@
 
 use crate::clock;
 use crate::node::meters::NodeMetrics;
-use crate::node::records::{self, Owner, SCHEDULER_KEY};
+use crate::node::records::{self, Member, Owner, SCHEDULER_KEY};
 use crate::node::term::Term;
 
 /// Time between probes of the store. A change of the configuration is in force after this and one answer.
@@ -50,7 +50,8 @@
     pub metrics: Arc<NodeMetrics>,
     known: RwLock<Known>,
     term: Mutex<Option<Arc<Term>>>,
-    others: Mutex<Vec<SocketAddr>>,
+    /// Other entries; `None` until they were read once.
+    others: Mutex<Option<Vec<Member>>>,
     stopping: AtomicBool,
 }
 
@@ -122,7 +123,8 @@
     /// Addresses of other entries; the one that schedules comes first.
     #[must_use]
     pub fn other_entries(&self) -> Vec<SocketAddr> {
-        let mut others = self.others.lock().expect("no holder panics").clone();
+        let members = self.others.lock().expect("no holder panics");
+        let mut others: Vec<SocketAddr> = members.iter().flatten().map(|m| m.peers).collect();
         if let Some(scheduler) = self.scheduler().map(|o| o.peers).filter(|peers| *peers != self.settings.peers) {
             others.retain(|o| *o != scheduler);
             others.insert(0, scheduler);
@@ -130,9 +132,17 @@
         others
     }
 
-    /// Takes the addresses of other entries.
-    pub fn set_other_entries(&self, others: Vec<SocketAddr>) {
-        *self.others.lock().expect("no holder panics") = others;
+    /// Takes the records of other entries.
+    pub fn set_other_entries(&self, others: Vec<Member>) {
+        *self.others.lock().expect("no holder panics") = Some(others);
+    }
+
+    /// Time for which this entry leaves the scheduler's place to stronger ones; `None` while the others are unknown.
+    #[must_use]
+    pub fn stand_back(&self) -> Option<Millis> {
+        let members = self.others.lock().expect("no holder panics");
+        let strengths: Vec<_> = members.as_ref()?.iter().map(|m| m.strength).collect();
+        Some(self.settings.strength.stand_back(&strengths))
     }
 
     /// Term of this entry, while it schedules.
--- a/crates/carawaybarrow/src/node/vm_orders.rs
+++ b/crates/carawaybarrow/src/node/vm_orders.rs
@@ -6,6 +6,7 @@
 use async_std::task;
 use carawaybarrow_core::Set;
 use carawaybarrow_core::sched::balance::Balance;
+use carawaybarrow_core::sched::candidacy::Strength;
 use carawaybarrow_core::sched::upkeep::{Vm, VmAnswer, Wave, WaveProgress};
 use carawaybarrow_core::units::Millis;
 use carawaybarrow_platform::configuration::WAVE_PREFIX;
@@ -25,8 +26,14 @@
 /// Time between looks for new waves.
 const WAVE_INTERVAL: Millis = Millis(1_000);
 
-/// Time between looks at the VMs: a peak lasts seconds, and a VM takes 1.5 s to join another pool.
-const STEP_INTERVAL: Duration = Duration::from_millis(150);
+/// Shortest time between looks at the VMs: a peak lasts seconds, and a VM takes 1.5 s to join another pool.
+const STEP_INTERVAL: Millis = Millis(150);
+
+/// Size of a VM in the list, in bytes; the platform's published example has 165 with short names.
+const VM_BYTES: u64 = 200;
+
+/// Part of the link that lists of VMs may take, in percent.
+const LIST_PERCENT: u64 = 10;
 
 /// Works on waves until the term ends.
 pub async fn run(term: Arc<Term>) {
@@ -48,15 +55,16 @@
             Ok(listed) => listed,
             Err(e) => {
                 log::info!(error:% = e; "no list of the VMs");
-                task::sleep(STEP_INTERVAL).await;
+                task::sleep(STEP_INTERVAL.to_duration()).await;
                 continue;
             }
         };
+        let pause = list_pause(&term.view.settings.strength, listed.len());
         term.with(|s| s.note_vms(now, view::now().mono, &listed));
         // An earlier holder may have given orders until just before the term.
         let is_turn = term.may_order_at_once || view::now().mono.since(began) >= term.view.settings.bounds.order_lease;
         if !is_turn {
-            task::sleep(STEP_INTERVAL).await;
+            task::sleep(pause).await;
             continue;
         }
         for wave in &mut waves {
@@ -71,10 +79,16 @@
         if !move_vms(&term, &vms, &holder, &mut balance, &listed).await {
             return;
         }
-        task::sleep(STEP_INTERVAL).await;
+        task::sleep(pause).await;
     }
 }
 
+/// Pause between lists of `count` VMs, so that they leave the link to orders and answers.
+fn list_pause(strength: &Strength, count: usize) -> Duration {
+    let transfer = strength.transfer_time(count as u64 * VM_BYTES);
+    STEP_INTERVAL.max(Millis(transfer.0 * 100 / LIST_PERCENT)).to_duration()
+}
+
 /// Orders the moves that the demand asks for. Returns whether the term may go on with orders.
 async fn move_vms(term: &Arc<Term>, vms: &Vms, holder: &Holder, balance: &mut Balance, listed: &[Vm]) -> bool {
     let moves = term.with(|s| s.plan_moves(view::now().mono, balance, listed));
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -5,6 +5,8 @@
 
 pub mod advice;
 pub mod balance;
+pub mod candidacy;
+pub mod directory;
 pub mod event;
 pub mod graph;
 pub mod job;
