Respect leases of the last term on workers that answered once

It now counts with a whole lease from the first answer on. A silent worker whose VM is away or no longer in the list has ended. Both tests fail without the change.

--- a/crates/carawaybarrow/src/node/members.rs
+++ b/crates/carawaybarrow/src/node/members.rs
@@ -25,24 +25,32 @@
 
 /// Follows the records until the process ends.
 pub async fn run(view: Arc<View>) {
+    if !view.settings.is_first_start {
+        // The store has the others from before, and this entry may have to schedule at once.
+        follow(&view).await;
+    }
     while let Err(e) = announce(&view).await {
         log::info!(error:% = e; "the record of this entry is not stored yet");
         task::sleep(RETRY_PAUSE).await;
     }
     if view.settings.is_first_start {
         task::sleep(FIRST_READ).await;
+        follow(&view).await;
+    }
+    while !view.is_stopping() {
+        task::sleep(READ_INTERVAL).await;
+        follow(&view).await;
     }
+}
+
+/// Reads the records of other entries, until the store answers.
+async fn follow(view: &View) {
     while !view.is_stopping() {
-        match read_others(&view).await {
-            Ok(others) => {
-                view.set_other_entries(others);
-                task::sleep(READ_INTERVAL).await;
-            }
-            Err(e) => {
-                log::info!(error:% = e; "the records of other entries can't be read");
-                task::sleep(RETRY_PAUSE).await;
-            }
+        match read_others(view).await {
+            Ok(others) => return view.set_other_entries(others),
+            Err(e) => log::info!(error:% = e; "the records of other entries can't be read"),
         }
+        task::sleep(RETRY_PAUSE).await;
     }
 }
 
--- a/crates/carawaybarrow/src/node/term.rs
+++ b/crates/carawaybarrow/src/node/term.rs
@@ -295,6 +295,6 @@
         Event::WorkerQuarantined { worker, failures } => {
             log::warn!(worker:% = worker, failures = failures; "worker fails its tasks and gets no more for a while");
         }
-        Event::Settled => log::info!("all runs of earlier terms are known"),
+        Event::Settled { silent } => log::info!(silent = silent; "all runs of earlier terms are known"),
     }
 }
--- a/crates/core/src/sched/event.rs
+++ b/crates/core/src/sched/event.rs
@@ -54,5 +54,8 @@
         failures: u32,
     },
     /// Every worker that may hold runs of an earlier term has answered, or its leases have ended.
-    Settled,
+    Settled {
+        /// Workers whose leases ended without an answer.
+        silent: usize,
+    },
 }
--- a/crates/core/src/sched/roster.rs
+++ b/crates/core/src/sched/roster.rs
@@ -61,12 +61,19 @@
     pub fn note_vms(&mut self, asked: MonoTime, now: MonoTime, vms: &[Vm]) {
         let by_key: Map<&VmKey, &Vm> = vms.iter().map(|vm| (&vm.key, vm)).collect();
         let is_gone = |worker: &&Worker| {
-            let Some(vm) = worker.report.vm.as_ref().and_then(|vm| by_key.get(vm)) else { return false };
+            let Some(key) = &worker.report.vm else { return false };
             // The list may not show a worker yet that has just come up.
             let is_old = worker.known_since + VM_LIST_LAG < asked;
-            let has_other = vm.worker.as_ref().is_some_and(|w| *w != worker.report.key);
-            let is_away = matches!(vm.state, VmState::Moving | VmState::Upkeep);
-            is_old && (vm.state == VmState::Down || (!worker.is_listed && (has_other || is_away)))
+            let is_silent = !worker.is_listed || !worker.is_reachable(now);
+            let has_ended = match by_key.get(key) {
+                Some(vm) => {
+                    let has_other = vm.worker.as_ref().is_some_and(|w| *w != worker.report.key);
+                    let is_away = matches!(vm.state, VmState::Moving | VmState::Upkeep);
+                    vm.state == VmState::Down || (is_silent && (has_other || is_away))
+                }
+                None => is_silent && !vms.is_empty(),
+            };
+            is_old && has_ended
         };
         let gone: Vec<WorkerKey> = self.workers.values().filter(is_gone).map(|w| w.report.key.clone()).collect();
         for key in gone {
@@ -98,8 +105,8 @@
     pub(super) fn check_settled(&mut self, now: MonoTime) {
         if !self.is_settled && (self.unsettled.is_empty() || now >= self.settle_by) {
             self.is_settled = true;
-            self.unsettled.clear();
-            self.events.push(Event::Settled);
+            let silent = std::mem::take(&mut self.unsettled).len();
+            self.events.push(Event::Settled { silent });
         }
     }
 
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -320,6 +320,7 @@
     pub fn take_lists(&mut self, now: Now, key: &WorkerKey, sent: MonoTime, lists: RunLists) {
         self.clock = now.mono;
         self.wall = now.wall;
+        let lease = self.lease_length();
         let Some(worker) = self.workers.get_mut(key) else { return };
         if worker.read_clock(now.mono, lists.clock, lists.born) {
             self.events.push(Event::WorkerReborn { worker: key.clone() });
@@ -344,6 +345,10 @@
             if std::mem::take(&mut worker.is_gone) {
                 worker.is_listed = true;
             }
+            if !worker.is_fenced {
+                // What it runs may hold a lease that the last scheduler gave until this answer.
+                worker.assume_lease(now.mono, lease);
+            }
             worker.answered = Some(now.mono);
             worker.is_fenced = true;
             worker.has_strays = has_strays;
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -148,9 +148,15 @@
     #[must_use]
     pub fn extend_lease(&mut self, now: MonoTime, length: Millis) -> Option<u64> {
         let reading = self.clock?;
-        let until = reading.clock + now.since(reading.at).0 + length.0;
-        self.lease_until = self.lease_until.max(until);
-        Some(until)
+        self.assume_lease(now, length);
+        Some(reading.clock + now.since(reading.at).0 + length.0)
+    }
+
+    /// Notes that a lease of `length` from now may have been given by an earlier scheduler.
+    pub fn assume_lease(&mut self, now: MonoTime, length: Millis) {
+        if let Some(reading) = self.clock {
+            self.lease_until = self.lease_until.max(reading.clock + now.since(reading.at).0 + length.0);
+        }
     }
 
     /// Whether the last lease that may have been granted has surely ended.
--- a/crates/core/tests/sched/takeover.rs
+++ b/crates/core/tests/sched/takeover.rs
@@ -21,6 +21,56 @@
     assert!(model.done.values().all(|n| *n == 1));
 }
 
+/// Guards against a second run beside one of the last term whose worker answers once and is not looked at again in
+/// time: its lease is from the last scheduler, and must end first (TWICE on trouble-3 of the grown Stillwater site).
+#[test]
+fn run_of_the_last_term_is_not_repeated_before_its_lease_ends() {
+    let mut model = Model::new(2);
+    model.work = 20_000;
+    model.accept("j", job(vec![step(1, 1_000)]));
+    model.run_for(500);
+    model.change_scheduler();
+    model.look_at_all();
+    for worker in model.workers.values_mut().filter(|w| !w.runs.is_empty()) {
+        worker.is_cut = true;
+    }
+    // The scheduler is held up for longer than a worker may be silent, so it extends no lease.
+    for _ in 0..30 {
+        model.pass();
+    }
+    model.run_for(8_000);
+    assert_eq!(model.running(), 1, "the task goes on at the other worker");
+}
+
+/// Guards against a pool that waits after a takeover for workers that the list of VMs shows to have ended: their VMs
+/// were ordered to move or down by the last scheduler, or are gone, while the store still lists the workers.
+#[test]
+fn pool_does_not_wait_for_workers_whose_vms_are_away() {
+    for state in [Some(VmState::Moving), Some(VmState::Upkeep), Some(VmState::Down), None] {
+        let mut model = Model::new(2);
+        model.run_for(500);
+        model.worker(1).is_cut = true;
+        model.change_scheduler();
+        model.run_for(2_500);
+        assert!(!model.scheduler.is_settled());
+        let vms: Vec<Vm> = [(0, Some(VmState::Up)), (1, state)]
+            .into_iter()
+            .filter_map(|(number, state)| Some((super::model::report(number), state?)))
+            .map(|(report, state)| Vm {
+                key: report.vm.expect("each worker of the model has a VM"),
+                pool: report.pool,
+                state,
+                data_centre: report.data_centre,
+                capacity: report.capacity,
+                worker: (state == VmState::Up).then_some(report.key),
+            })
+            .collect();
+        let now = MonoTime(model.now);
+        model.scheduler.note_vms(now, now, &vms);
+        assert!(model.scheduler.is_settled(), "{state:?}");
+    }
+}
+
 /// Guards against a job, accepted just after the takeover, that the last scheduler has started as well: it was told of
 /// the job too, and a worker that was not looked at yet obeys it (TWICE on trouble-3 of Le Guennec).
 #[test]
