Gather changes before a plan, and store ends with four writers

Cause of late starts on the grown sites: each list of a worker and each answer planned all pools anew, and one writer stored the ends of at most seven jobs with each call, while a worker's next look waits until its ends are stored. Plans now gather changes for 4 ms or three times the last plan, and four writers take up to fifteen jobs each; a job is written once at a time. Ruled out: the link of the scheduler (200 Mbit/s), the store's limit of writes.

--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -117,7 +117,10 @@
             release(&term).await;
             return;
         }
-        task::spawn(writer::run(Arc::clone(&term)));
+        task::spawn(Arc::clone(&term).run_planner());
+        for _ in 0..writer::WRITERS {
+            task::spawn(writer::run(Arc::clone(&term)));
+        }
         task::spawn(writer::expire_jobs(Arc::clone(&term)));
         task::spawn(listing::watch_jobs(Arc::clone(&term)));
         task::spawn(listing::follow_workers(Arc::clone(&term)));
--- a/crates/carawaybarrow/src/node/term.rs
+++ b/crates/carawaybarrow/src/node/term.rs
@@ -34,6 +34,37 @@
 /// Times the transfer of a page that its answer may take, as the link has other work too.
 const TRANSFER_FACTOR: u64 = 2;
 
+/// Shortest pause between plans, in which changes gather. A start takes about this time on its way to a worker.
+const PLAN_PAUSE: Duration = Duration::from_millis(4);
+
+/// Pause after a plan as a multiple of the time that it took, so that plans leave three quarters of the processor to
+/// orders and answers.
+const PLAN_PAUSE_FACTOR: u32 = 3;
+
+/// A signal that is kept until somebody waits for it; several at once count as one.
+#[derive(Debug)]
+struct Wake {
+    sender: channel::Sender<()>,
+    receiver: channel::Receiver<()>,
+}
+
+impl Wake {
+    fn new() -> Self {
+        let (sender, receiver) = channel::bounded(1);
+        Self { sender, receiver }
+    }
+
+    fn wake(&self) {
+        // A full channel holds a signal already.
+        let _ = self.sender.try_send(());
+    }
+
+    async fn wait(&self) {
+        // This value holds the sender, so an error can't occur.
+        let _ = self.receiver.recv().await;
+    }
+}
+
 /// A term.
 #[derive(Debug)]
 pub struct Term {
@@ -57,7 +88,8 @@
     loaded: AtomicBool,
     watch_start: AtomicU64,
     ended: AtomicBool,
-    writes: (channel::Sender<()>, channel::Receiver<()>),
+    writes: Wake,
+    plans: Wake,
 }
 
 impl Term {
@@ -86,7 +118,8 @@
             loaded: AtomicBool::new(false),
             watch_start: AtomicU64::new(0),
             ended: AtomicBool::new(false),
-            writes: channel::bounded(1),
+            writes: Wake::new(),
+            plans: Wake::new(),
         }
     }
 
@@ -131,18 +164,18 @@
             log::warn!(term = self.owner.term, token = self.revision.0, reason = reason; "term ended");
             self.view.set_term(None);
         }
-        self.wake_writer();
+        self.writes.wake();
+        self.plans.wake();
     }
 
     /// Waits until something is to be written.
     pub async fn wait_for_writes(&self) {
-        // The term holds the sender, so an error can't occur.
-        let _ = self.writes.1.recv().await;
+        self.writes.wait().await;
     }
 
-    fn wake_writer(&self) {
-        // A full channel holds a signal already.
-        let _ = self.writes.0.try_send(());
+    /// Lets another writer look for something to write.
+    pub fn wake_writer(&self) {
+        self.writes.wake();
     }
 
     /// Adds a job that the store holds.
@@ -162,11 +195,26 @@
         self.advance();
     }
 
-    /// Plans, and sends the orders that follow.
-    pub fn advance(self: &Arc<Self>) {
-        if self.is_ended() || !self.is_loaded() {
-            return;
+    /// Lets the planner look at what has changed.
+    pub fn advance(&self) {
+        self.plans.wake();
+    }
+
+    /// Plans after changes until the term ends.
+    pub async fn run_planner(self: Arc<Self>) {
+        loop {
+            self.plans.wait().await;
+            if self.is_ended() {
+                return;
+            }
+            let began = Instant::now();
+            self.plan();
+            task::sleep(PLAN_PAUSE.max(began.elapsed() * PLAN_PAUSE_FACTOR)).await;
         }
+    }
+
+    /// Plans, and sends the orders that follow.
+    fn plan(self: &Arc<Self>) {
         let (orders, events, has_writes) = self.with(|s| {
             s.plan(view::now());
             (s.take_orders(), s.take_events(), s.has_writes())
@@ -182,7 +230,7 @@
             task::spawn(async move { term.send(order).await });
         }
         if has_writes {
-            self.wake_writer();
+            self.writes.wake();
         }
     }
 
--- a/crates/carawaybarrow/src/node/writer.rs
+++ b/crates/carawaybarrow/src/node/writer.rs
@@ -19,11 +19,12 @@
 /// Pause after a failed write.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// Rows that one job may need: a condition, a put and two deletions.
-const ROWS_PER_JOB: usize = 4;
+/// Writers that work at once. One waits for each answer of the store, which takes 4 ms and more, and stores the ends of
+/// at most fifteen jobs with it.
+pub const WRITERS: usize = 4;
 
-/// Jobs in one change; one row is the condition that the term goes on.
-const JOBS_PER_CHANGE: usize = (MAX_ROWS - 1) / ROWS_PER_JOB;
+/// Rows of one change that are left to jobs; one row is the condition that the term goes on.
+const JOB_ROWS: usize = MAX_ROWS - 1;
 
 /// Times the retention that callers are promised, for which records are kept: clocks of entries may differ and jump.
 const RETENTION_FACTOR: u64 = 2;
@@ -44,7 +45,8 @@
             }
         }
         if term.is_ended() {
-            return;
+            // The signal of the end is for all writers.
+            return term.wake_writer();
         }
     }
 }
@@ -84,10 +86,13 @@
 
 /// Stores the changes of some jobs. Returns whether the store took them.
 async fn store_some(term: &Arc<Term>) -> bool {
-    let writes = term.with(|s| s.take_writes(view::now(), JOBS_PER_CHANGE));
+    let (writes, has_more) = term.with(|s| (s.take_writes(view::now(), JOB_ROWS, rows_of), s.has_writes()));
     if writes.is_empty() {
         return true;
     }
+    if has_more {
+        term.wake_writer();
+    }
     let change = build_change(term, &writes);
     let began = Instant::now();
     let answer = term.view.store.change(&change, STORE_LIMIT).await;
@@ -115,6 +120,14 @@
     false
 }
 
+/// Rows that the write of a job needs at most: a condition, a put, and for a job that has ended a deletion.
+const fn rows_of(write: &JobWrite) -> usize {
+    match write {
+        JobWrite::Progress(_) => 2,
+        JobWrite::Ended(_) => 3,
+    }
+}
+
 fn build_change(term: &Term, writes: &[(JobKey, u64, JobWrite)]) -> Change {
     let revisions = term.progress_revisions.lock().expect("no holder panics");
     let mut change = Change { expected: vec![(SCHEDULER_KEY.to_owned(), term.revision)], ..Change::default() };
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -75,7 +75,12 @@
     pub(super) orders: Vec<Order>,
     pub(super) events: Vec<Event>,
     ended: Map<JobKey, EndedJob>,
+    /// Jobs whose changes wait to be stored, in order, without those of `writing`.
     dirty: VecDeque<JobKey>,
+    /// Keys of `dirty`, and of jobs that changed while they are written.
+    changed: Set<JobKey>,
+    /// Jobs whose write is on its way.
+    writing: Set<JobKey>,
     pub(super) unsettled: Set<WorkerKey>,
     pub(super) settle_by: MonoTime,
     pub(super) deposed_by: MonoTime,
@@ -102,6 +107,8 @@
             events: Vec::new(),
             ended: Map::default(),
             dirty: VecDeque::new(),
+            changed: Set::default(),
+            writing: Set::default(),
             unsettled: Set::default(),
             settle_by: MonoTime(0),
             deposed_by: MonoTime(0),
@@ -194,7 +201,7 @@
     }
 
     pub(super) fn mark_dirty(&mut self, key: &JobKey) {
-        if !self.dirty.contains(key) {
+        if self.changed.insert(key.clone()) && !self.writing.contains(key) {
             self.dirty.push_back(key.clone());
         }
     }
@@ -219,12 +226,21 @@
         self.jobs.values().filter(|j| j.spec.queue == *queue && j.state == JobState::Queued).count()
     }
 
-    /// Jobs whose changes wait to be stored, with the version that each write holds.
-    pub fn take_writes(&mut self, now: Now, most: usize) -> Vec<(JobKey, u64, JobWrite)> {
+    /// Jobs whose changes wait to be stored, with the version that each write holds. The writes together cost at most
+    /// `budget`. A job is not given again before [`Self::note_stored`] or [`Self::retry_write`].
+    pub fn take_writes(
+        &mut self,
+        now: Now,
+        budget: usize,
+        cost: impl Fn(&JobWrite) -> usize,
+    ) -> Vec<(JobKey, u64, JobWrite)> {
         let mut writes = Vec::new();
-        while writes.len() < most {
-            let Some(key) = self.dirty.pop_front() else { break };
-            let Some(job) = self.jobs.get(&key) else { continue };
+        let mut left = budget;
+        while let Some(key) = self.dirty.pop_front() {
+            let Some(job) = self.jobs.get(&key) else {
+                self.changed.remove(&key);
+                continue;
+            };
             let write = if job.state.is_final() {
                 JobWrite::Ended(JobRecord::Ended {
                     queue: job.spec.queue.clone(),
@@ -235,6 +251,13 @@
             } else {
                 JobWrite::Progress(job.progress())
             };
+            let Some(rest) = left.checked_sub(cost(&write)) else {
+                self.dirty.push_front(key);
+                break;
+            };
+            left = rest;
+            self.changed.remove(&key);
+            self.writing.insert(key.clone());
             writes.push((key, job.version, write));
         }
         writes
@@ -242,11 +265,19 @@
 
     /// Notes that a write was refused and has to be made again.
     pub fn retry_write(&mut self, key: &JobKey) {
+        self.finish_write(key);
         if self.jobs.contains_key(key) {
             self.mark_dirty(key);
         }
     }
 
+    fn finish_write(&mut self, key: &JobKey) {
+        self.writing.remove(key);
+        if self.changed.contains(key) {
+            self.dirty.push_back(key.clone());
+        }
+    }
+
     /// Whether changes wait to be stored.
     #[must_use]
     pub fn has_writes(&self) -> bool {
@@ -255,6 +286,7 @@
 
     /// Notes that the store holds a version of a job.
     pub fn note_stored(&mut self, key: &JobKey, version: u64) {
+        self.finish_write(key);
         if let Some(job) = self.jobs.get_mut(key) {
             job.stored = job.stored.max(version);
         }
--- a/crates/core/tests/sched/life.rs
+++ b/crates/core/tests/sched/life.rs
@@ -176,3 +176,52 @@
     model.scheduler.forget_job(&JobKey::new("j"));
     assert_eq!(model.state("j"), None);
 }
+
+/// Guards against two writes of one job at the same time, whose conditions exclude each other, and against a change
+/// that is lost because it came while the job was written.
+#[test]
+fn job_is_written_once_at_a_time() {
+    let mut model = Model::new(3);
+    model.accept("j", job(vec![step(2, 2_500)]));
+    model.accept("k", job(vec![step(1, 2_500)]));
+    model.look_at_all();
+    model.advance();
+    let late = "j.0.0.1".parse().expect("a task name");
+    let holder = (0..3).find(|n| model.worker(*n).runs.contains_key(&late)).expect("all tasks run");
+    for _ in 0..9 {
+        model.pass();
+    }
+    model.worker(holder).is_cut = true;
+    model.look_at_all();
+    let first = model.scheduler.take_writes(model.time(), 8, |_| 1);
+    assert!(!first.is_empty());
+    model.worker(holder).is_cut = false;
+    model.look_at_all();
+    for (key, _, _) in model.scheduler.take_writes(model.time(), 8, |_| 1) {
+        assert!(first.iter().all(|(written, _, _)| *written != key), "{key} is written already");
+    }
+    for (key, version, _) in &first {
+        model.scheduler.note_stored(key, *version);
+    }
+    model.run_for(1_000);
+    assert_eq!(model.state("j"), Some(JobState::Completed));
+    assert_eq!(model.state("k"), Some(JobState::Completed));
+    assert!(!model.scheduler.has_writes());
+}
+
+/// Guards against a change of the store with more rows than it accepts.
+#[test]
+fn writes_stay_within_their_budget() {
+    let mut model = Model::new(4);
+    for number in 0..10 {
+        model.accept(&format!("j{number}"), job(vec![step(1, 1_000)]));
+    }
+    model.look_at_all();
+    model.advance();
+    for _ in 0..9 {
+        model.pass();
+    }
+    model.look_at_all();
+    assert_eq!(model.scheduler.take_writes(model.time(), 10, |_| 3).len(), 3);
+    assert!(model.scheduler.has_writes());
+}
--- a/crates/core/tests/sched/model.rs
+++ b/crates/core/tests/sched/model.rs
@@ -354,7 +354,7 @@
 
     /// Stores what is to be written.
     pub fn store_writes(&mut self) {
-        let writes = self.scheduler.take_writes(self.time(), 8);
+        let writes = self.scheduler.take_writes(self.time(), 8, |_| 1);
         for (key, version, write) in writes {
             if self.store.is_down {
                 self.scheduler.retry_write(&key);
