Move VMs by the size of the fleet and the platform's rate

Half of the fleet may now be on its way, within 80 percent of the orders that the platform accepts in a second. Ruled out: the time to the first start (half within 41 ms) and the scheduler's processor (0.23 of 0.5).

--- a/crates/core/src/sched/balance.rs
+++ b/crates/core/src/sched/balance.rs
@@ -3,6 +3,8 @@
 //! A VM that idles in a pool is paid for, and a pool that lacks room makes its jobs late. A move costs about as much as
 //! a second of a VM, and the VM is away for the time of its migration.
 
+use std::collections::VecDeque;
+
 use crate::map::Map;
 use crate::sched::graph::{PoolName, VmKey, WorkerKey};
 use crate::sched::scheduler::Scheduler;
@@ -25,11 +27,17 @@
 /// Time after an order in which the list may not show its effect yet.
 const MOVE_SETTLE: Millis = Millis(1_000);
 
-/// Most VMs that are on their way at once.
-const MAX_MOVING: usize = 24;
+/// Part of all VMs that may be on their way at once, in percent: a peak of one pool needs up to the room of two others.
+const MOVING_PERCENT: usize = 50;
+
+/// Part of all VMs that is added to a pool at once for lasting tasks without a worker, in percent.
+const EXTRA_PERCENT: u64 = 6;
+
+/// Part of the orders that the platform accepts in a second which moves may use, in percent; waves need the rest.
+const ORDER_PERCENT: usize = 80;
 
-/// Most VMs that are added at once for lasting tasks without a worker.
-const MAX_EXTRA: u64 = 3;
+/// Time over which the platform counts orders.
+const ORDER_WINDOW: Millis = Millis(1_000);
 
 /// A VM to move.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -65,14 +73,25 @@
 pub struct Balance {
     demands: Map<PoolName, Demand>,
     moving: Map<VmKey, Moving>,
+    ordered: VecDeque<MonoTime>,
     idle_since: Map<WorkerKey, MonoTime>,
 }
 
+impl Balance {
+    fn note_order(&mut self, now: MonoTime, vm: &VmKey, pool: &PoolName) {
+        self.moving.insert(vm.clone(), Moving { pool: pool.clone(), since: now });
+        self.ordered.push_back(now);
+    }
+}
+
 impl Scheduler {
     /// Decides which VMs move now. Their workers get no more tasks.
     pub fn plan_moves(&mut self, now: MonoTime, balance: &mut Balance, listed: &[Vm]) -> Vec<Move> {
         let settle = self.bounds.migration + MOVE_SETTLE;
         balance.moving.retain(|_, m| now.since(m.since) < settle);
+        balance.ordered.retain(|at| now.since(*at) < ORDER_WINDOW);
+        let most_moving = (listed.len() * MOVING_PERCENT).div_ceil(100);
+        let most_ordered = self.bounds.vm_orders_per_sec * ORDER_PERCENT / 100;
         self.note_idle(now, balance);
         let capacity = listed.iter().map(|vm| vm.capacity.cpu).max().unwrap_or(0);
         if capacity == 0 {
@@ -97,12 +116,12 @@
         let mut moves = Vec::new();
         for (pool, need, have) in lacking {
             for _ in have..need {
-                if balance.moving.len() >= MAX_MOVING {
+                if balance.moving.len() >= most_moving || balance.ordered.len() >= most_ordered {
                     break;
                 }
                 let Some(at) = donors.iter().position(|(vm, _)| vm.pool != pool) else { break };
                 let (vm, worker) = donors.remove(at);
-                balance.moving.insert(vm.key.clone(), Moving { pool: pool.clone(), since: now });
+                balance.note_order(now, &vm.key, &pool);
                 moves.push(Move { vm: vm.key.clone(), worker, pool: pool.clone(), need, have });
             }
         }
@@ -114,13 +133,14 @@
                 }
                 let idle =
                     worker.as_ref().and_then(|w| balance.idle_since.get(w)).map_or(Millis(0), |at| now.since(*at));
-                if vm.pool == standby || idle < IDLE_BEFORE_STANDBY || balance.moving.len() >= MAX_MOVING {
+                let is_full = balance.moving.len() >= most_moving || balance.ordered.len() >= most_ordered;
+                if vm.pool == standby || idle < IDLE_BEFORE_STANDBY || is_full {
                     continue;
                 }
                 let need = needs.get(&vm.pool).map_or(0, |n| n.kept);
                 let have = *left;
                 *left -= 1;
-                balance.moving.insert(vm.key.clone(), Moving { pool: standby.clone(), since: now });
+                balance.note_order(now, &vm.key, &standby);
                 moves.push(Move { vm: vm.key.clone(), worker, pool: standby.clone(), need, have });
             }
         }
@@ -228,7 +248,7 @@
             let waiting = self.waiting_lasting(&pool);
             if waiting > 0 {
                 // Their steps allow few tasks on one worker, so room on the present workers doesn't help them.
-                need = need.max(have.get(&pool).copied().unwrap_or(0) + waiting.min(MAX_EXTRA));
+                need = need.max(have.get(&pool).copied().unwrap_or(0) + waiting.min((total * EXTRA_PERCENT / 100).max(1)));
             }
             let demand = balance.demands.entry(pool.clone()).or_insert(Demand { need, needed_at: now });
             if need >= demand.need || now.since(demand.needed_at) > NEED_MEMORY {
--- a/crates/core/src/sched/policy.rs
+++ b/crates/core/src/sched/policy.rs
@@ -70,6 +70,8 @@
     pub migration: Millis,
     /// Time that must pass between two holders of orders to one VM.
     pub order_lease: Millis,
+    /// Orders about VMs that the platform accepts in a second.
+    pub vm_orders_per_sec: usize,
 }
 
 impl Default for Bounds {
@@ -80,6 +82,7 @@
             upkeep: Millis(2_000),
             migration: Millis(1_500),
             order_lease: Millis(3_000),
+            vm_orders_per_sec: 64,
         }
     }
 }
--- a/crates/core/tests/sched/capacity.rs
+++ b/crates/core/tests/sched/capacity.rs
@@ -77,6 +77,28 @@
     assert!(moves.iter().all(|m| m.worker.is_none()), "working VMs stay: {moves:?}");
 }
 
+/// Guards against a large pool that gets its VMs too slowly in a peak, and against more orders than the platform
+/// accepts in a second.
+#[test]
+fn moves_follow_the_size_of_the_fleet_and_the_platforms_rate() {
+    let mut model = Model::new(20);
+    with_standby(&mut model);
+    let mut balance = Balance::default();
+    model.work = 5_000;
+    for number in 0..20 {
+        model.accept(&format!("j{number}"), job(vec![step(40, 1_000)]));
+    }
+    model.run_for(300);
+    let mut listed = vms(&model);
+    listed.extend(standby(180));
+    let first = model.scheduler.plan_moves(MonoTime(model.now), &mut balance, &listed).len();
+    assert_eq!(first, 51, "80 percent of the 64 orders that are accepted in a second");
+    let soon = model.scheduler.plan_moves(MonoTime(model.now + 500), &mut balance, &listed).len();
+    assert_eq!(soon, 0);
+    let later = model.scheduler.plan_moves(MonoTime(model.now + 1_000), &mut balance, &listed).len();
+    assert_eq!(later, 49, "half of the fleet is on its way");
+}
+
 fn wave(model: &Model, ceiling: usize) -> WaveRequest {
     let vms = model.workers.values().filter_map(|w| w.report.vm.clone()).collect();
     WaveRequest { number: 1, vms, within: Millis(1_000), ceiling }
