Give jobs beyond a team's share the room that is left

Jobs beyond the share, gathered over 5 s, now come after those of the others, and no VM is added for them or for jobs too late to be of use.

--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -14,10 +14,10 @@
 use carawaybarrow_platform::store::{Change, Changed, Item, LeaseId, StoreError, StoreRevision};
 use snafu::Snafu;
 
+use crate::node::peers::Peers;
 use crate::node::records::{
     self, JOB_PREFIX, JobItem, Owner, PROGRESS_PREFIX, RELEASED_KEY, ROSTER_KEY, SCHEDULER_KEY, TERMS_KEY,
 };
-use crate::node::peers::Peers;
 use crate::node::term::Term;
 use crate::node::view::{self, View};
 use crate::node::{links, listing, vm_orders, writer};
@@ -267,22 +267,26 @@
     let count = jobs.len();
     let workers = roster.len();
     let mut cancelled = Vec::new();
+    let mut accepted = Vec::new();
     for item in jobs {
         let Some(value) = &item.value else { continue };
         match records::read_job_key(&item.key) {
             Some(JobItem::Cancel(job)) => cancelled.push(job),
             Some(JobItem::Record(job)) => match records::read::<JobRecord>(value)? {
                 JobRecord::Accepted(spec) => {
-                    let done = progress.remove(&job).unwrap_or_default();
-                    let is_inherited = item.created < term.revision;
-                    term.with(|s| s.add_job(now, job, spec, done, is_inherited));
+                    accepted.push((spec.accepted, job, spec, item.created < term.revision));
                 }
                 JobRecord::Ended { state, at, .. } => term.with(|s| s.add_ended(job, state, at)),
             },
             None => log::warn!(key:% = item.key; "unknown key among the jobs"),
         }
     }
+    accepted.sort_by(|a, b| (a.0, &a.1).cmp(&(b.0, &b.1)));
     term.with(|s| {
+        for (_, job, spec, is_inherited) in accepted {
+            let done = progress.remove(&job).unwrap_or_default();
+            s.add_job(now, job, spec, done, is_inherited);
+        }
         for job in &cancelled {
             s.cancel_job(job);
         }
--- a/crates/core/src/sched/balance.rs
+++ b/crates/core/src/sched/balance.rs
@@ -7,6 +7,7 @@
 
 use crate::map::Map;
 use crate::sched::graph::{PoolName, VmKey, WorkerKey};
+use crate::sched::job::Lateness;
 use crate::sched::scheduler::Scheduler;
 use crate::sched::upkeep::{Vm, VmAnswer, VmState};
 use crate::units::{Millis, MonoTime};
@@ -205,8 +206,9 @@
         steps.filter_map(|s| Some(u64::from(s.count.div_ceil(s.max_per_worker?)))).max().unwrap_or(0)
     }
 
-    /// CPU that a pool uses or waits for, in thousandths of a core.
-    fn pool_loads(&self) -> Map<PoolName, u64> {
+    /// CPU that a pool uses or waits for, in thousandths of a core. Waiting jobs beyond the share of their team or too
+    /// late to be of use take the room that is there.
+    fn pool_loads(&self, now: MonoTime) -> Map<PoolName, u64> {
         let mut loads: Map<PoolName, u64> = self.policy.queues.values().map(|q| (q.pool.clone(), 0)).collect();
         for worker in self.workers.values() {
             *loads.entry(worker.report.pool.clone()).or_default() += worker.used.cpu;
@@ -219,6 +221,10 @@
                         continue;
                     }
                     let spec = &job.spec.steps[s];
+                    let is_owed = !job.is_over_share && job.lateness(now, o) != Lateness::Useless;
+                    if !spec.lasting && !is_owed {
+                        continue;
+                    }
                     let count = step.tasks.iter().filter(|t| t.is_waiting()).count() as u64;
                     let work = spec.reserved().cpu * count;
                     waiting += if spec.lasting { work } else { work * spec.estimate.0 / BACKLOG_HORIZON.0 };
@@ -239,7 +245,7 @@
         have: &Map<PoolName, u64>,
     ) -> Map<PoolName, Need> {
         let mut needs = Map::default();
-        let loads = self.pool_loads();
+        let loads = self.pool_loads(now);
         let pools = loads.keys().filter(|pool| Some(*pool) != self.policy.standby.as_ref()).count().max(1) as u64;
         let total: u64 = have.values().sum();
         let kept = (total * KEPT_PERCENT / 100).div_ceil(pools);
@@ -248,7 +254,8 @@
             let waiting = self.waiting_lasting(&pool);
             if waiting > 0 {
                 // Their steps allow few tasks on one worker, so room on the present workers doesn't help them.
-                need = need.max(have.get(&pool).copied().unwrap_or(0) + waiting.min((total * EXTRA_PERCENT / 100).max(1)));
+                need =
+                    need.max(have.get(&pool).copied().unwrap_or(0) + waiting.min((total * EXTRA_PERCENT / 100).max(1)));
             }
             let demand = balance.demands.entry(pool.clone()).or_insert(Demand { need, needed_at: now });
             if need >= demand.need || now.since(demand.needed_at) > NEED_MEMORY {
--- a/crates/core/src/sched/job.rs
+++ b/crates/core/src/sched/job.rs
@@ -99,6 +99,20 @@
     pub due: MonoTime,
 }
 
+/// Objectives after which a job is too late to be of use.
+const LATE_FACTOR: u64 = 3;
+
+/// Whether a job can meet its objective if its tasks start now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Lateness {
+    /// It can.
+    InTime,
+    /// It ends late and is of some use.
+    Late,
+    /// It is too late to be of use.
+    Useless,
+}
+
 /// A job.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -112,6 +126,8 @@
     pub state: JobState,
     /// It was accepted before this term, so an earlier scheduler may have started its tasks.
     pub is_inherited: bool,
+    /// Its team has sent more than its share.
+    pub is_over_share: bool,
     /// It was cancelled.
     pub is_cancelled: bool,
     /// Version of the progress; it rises with each end that counts.
@@ -133,6 +149,7 @@
             occurrences: Vec::new(),
             state: if progress == Progress::default() { JobState::Queued } else { JobState::Running },
             is_inherited: false,
+            is_over_share: false,
             is_cancelled: false,
             version: 0,
             stored: 0,
@@ -233,6 +250,20 @@
         Millis(ends.into_iter().max().unwrap_or(0))
     }
 
+    /// Whether an occurrence can still be of use to its caller.
+    #[must_use]
+    pub fn lateness(&self, now: MonoTime, occurrence: usize) -> Lateness {
+        let Some(due) = self.occurrences.get(occurrence).map(|o| o.due) else { return Lateness::Useless };
+        let end = now + self.remaining_chain(occurrence);
+        if end <= due + self.objective {
+            Lateness::InTime
+        } else if end <= due + Millis(self.objective.0 * LATE_FACTOR) {
+            Lateness::Late
+        } else {
+            Lateness::Useless
+        }
+    }
+
     /// What the store has to keep.
     #[must_use]
     pub fn progress(&self) -> Progress {
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -21,3 +21,4 @@
 mod ends;
 mod plan;
 mod roster;
+mod share;
--- a/crates/core/src/sched/plan.rs
+++ b/crates/core/src/sched/plan.rs
@@ -3,23 +3,22 @@
 use crate::map::Map;
 use crate::sched::advice::StepName;
 use crate::sched::graph::{JobKey, PoolName, Resources, Step, TaskName, WorkerKey};
-use crate::sched::job::{Job, Phase, Run};
+use crate::sched::job::{Job, Lateness, Phase, Run};
 use crate::sched::order::{Order, Start};
 use crate::sched::scheduler::{Now, Scheduler};
-use crate::units::{Millis, MonoTime};
-
-/// Objectives after which a job earns nothing any more, as a factor; later jobs wait for the others.
-const LATE_FACTOR: u64 = 3;
+use crate::units::MonoTime;
 
 /// Place of a job in the order of starts; lower comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
     /// Tasks that serve users come first, then the others.
     is_batch: bool,
+    /// What a team sends beyond its share gets the room that is left.
+    is_over_share: bool,
     /// Priority of the queue.
     priority: u32,
-    /// 0 can meet its objective, 1 ends late, 2 is too late to be of use.
-    lateness: u8,
+    /// Jobs that can meet their objective come first.
+    lateness: Lateness,
     /// Time at which the objective ends.
     deadline: MonoTime,
 }
@@ -68,21 +67,14 @@
                     continue;
                 }
                 let deadline = occurrence.due + job.objective;
-                let end = now.mono + job.remaining_chain(number);
-                let lateness = if end <= deadline {
-                    0
-                } else if end <= occurrence.due + Millis(job.objective.0 * LATE_FACTOR) {
-                    1
-                } else {
-                    2
-                };
                 let spec = &job.spec.steps[s];
                 let is_lasting = spec.lasting;
                 let priority = self.policy.queues.get(&job.spec.queue).map_or(1, |q| q.priority);
                 let rank = Rank {
                     is_batch: !is_lasting,
+                    is_over_share: !is_lasting && job.is_over_share,
                     priority: if is_lasting { u32::from(spec.fills) } else { priority },
-                    lateness: if is_lasting { 0 } else { lateness },
+                    lateness: if is_lasting { Lateness::InTime } else { job.lateness(now.mono, number) },
                     deadline,
                 };
                 by_pool.entry(self.pool_of(&job.spec).clone()).or_default().push((rank, key.clone(), number, s));
--- a/crates/core/src/sched/policy.rs
+++ b/crates/core/src/sched/policy.rs
@@ -38,8 +38,8 @@
 /// Rules of a team.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TeamPolicy {
-    /// Share when all is full.
-    pub weight: u64,
+    /// Jobs that it is owed in 1,000 s; 0 sets no limit.
+    pub jobs_per_1000_secs: u64,
     /// What may run at once; a part of 0 has no limit.
     pub ceiling: Resources,
 }
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -13,6 +13,7 @@
 use crate::sched::order::{FencingToken, Order, RunLists, StartAnswer};
 use crate::sched::policy::{Bounds, Policy, QueuePolicy};
 use crate::sched::progress::{JobRecord, JobState, Progress};
+use crate::sched::share::Allowance;
 use crate::sched::worker::{MAX_WAIT, Worker};
 use crate::units::{Millis, MonoTime, WallTime};
 
@@ -72,6 +73,7 @@
     pub(super) jobs: Map<JobKey, Job>,
     pub(super) workers: Map<WorkerKey, Worker>,
     pub(super) teams: Map<TeamName, Resources>,
+    allowances: Map<TeamName, Allowance>,
     pub(super) orders: Vec<Order>,
     pub(super) events: Vec<Event>,
     ended: Map<JobKey, EndedJob>,
@@ -103,6 +105,7 @@
             jobs: Map::default(),
             workers: Map::default(),
             teams: Map::default(),
+            allowances: Map::default(),
             orders: Vec::new(),
             events: Vec::new(),
             ended: Map::default(),
@@ -142,19 +145,29 @@
         }
     }
 
-    /// Adds a job that the store holds. A job is inherited if it was accepted before the term.
+    /// Adds a job that the store holds. A job is inherited if it was accepted before the term. Jobs of one team should
+    /// come in the order of their acceptance, which decides which of them lie within its share.
     pub fn add_job(&mut self, now: Now, key: JobKey, spec: JobSpec, progress: Progress, is_inherited: bool) {
         if self.jobs.contains_key(&key) || self.ended.contains_key(&key) {
             return;
         }
         let mut job = Job::new(key.clone(), spec, progress);
         job.is_inherited = is_inherited;
+        job.is_over_share = !self.take_share(&job);
         job.objective = objective(&self.policy, &job.spec);
         job.add_due(now.mono, now.wall);
         self.jobs.insert(key.clone(), job);
         self.finish_if_complete(&key);
     }
 
+    /// Whether a job lies within the share of its team.
+    fn take_share(&mut self, job: &Job) -> bool {
+        let Some(name) = job.spec.team.as_ref().filter(|_| !job.is_lasting()) else { return true };
+        let Some(team) = self.policy.teams.get(name).filter(|t| t.jobs_per_1000_secs > 0) else { return true };
+        let accepted = job.spec.accepted;
+        self.allowances.entry(name.clone()).or_insert_with(|| Allowance::new(team, accepted)).take(team, accepted)
+    }
+
     /// Adds a job that has ended.
     pub fn add_ended(&mut self, key: JobKey, state: JobState, at: WallTime) {
         self.ended.insert(key, EndedJob { state, at });
@@ -220,6 +233,12 @@
         })
     }
 
+    /// Whether a job that has not ended is beyond the share of its team.
+    #[must_use]
+    pub fn is_over_share(&self, key: &JobKey) -> Option<bool> {
+        self.jobs.get(key).map(|j| j.is_over_share)
+    }
+
     /// Number of jobs of a queue for which no task has started.
     #[must_use]
     pub fn pending(&self, queue: &QueueName) -> usize {
--- a/crates/core/tests/sched/life.rs
+++ b/crates/core/tests/sched/life.rs
@@ -225,3 +225,45 @@
     assert_eq!(model.scheduler.take_writes(model.time(), 10, |_| 3).len(), 3);
     assert!(model.scheduler.has_writes());
 }
+
+/// Guards against a team whose flood of jobs delays those of all others (trouble-3 of the grown sites): what it sends
+/// beyond its share gets the room that is left, and no VM.
+#[test]
+fn jobs_beyond_the_share_of_a_team_wait_for_the_others() {
+    let mut model = Model::new(1);
+    let mut flood = job(vec![step(4, 1_000)]);
+    flood.team = Some(TeamName::new("t"));
+    // The policy of the model gives the team one job a second, gathered over 5 s.
+    for number in 0..8 {
+        model.accept(&format!("flood{number}"), flood.clone());
+    }
+    model.accept("other", job(vec![step(4, 1_000)]));
+    let order = |model: &Model| -> Vec<bool> {
+        (0..8).map(|n| model.state(&format!("flood{n}")) == Some(JobState::Completed)).collect()
+    };
+    while model.state("other") != Some(JobState::Completed) {
+        model.run_for(100);
+    }
+    assert!(order(&model)[5..].iter().all(|is_done| !is_done), "jobs beyond the share ran first");
+    model.run_for(8_000);
+    assert!(order(&model).iter().all(|is_done| *is_done), "the rest runs where there is room");
+}
+
+/// Guards against a share that is gone for good after a flood, and against a clock that goes back.
+#[test]
+fn share_comes_back_with_time() {
+    let mut model = Model::new(4);
+    let send = |model: &mut Model, number: u32, accepted: u64| {
+        let mut spec = job(vec![step(1, 1_000)]);
+        spec.team = Some(TeamName::new("t"));
+        spec.accepted = WallTime(accepted);
+        let key = format!("j{number}");
+        model.accept(&key, spec);
+        model.scheduler.is_over_share(&JobKey::new(key))
+    };
+    let over: Vec<Option<bool>> = (0..6).map(|n| send(&mut model, n, START)).collect();
+    assert_eq!(over, [false, false, false, false, false, true].map(Some));
+    assert_eq!(send(&mut model, 6, START - 2_000), Some(true));
+    assert_eq!(send(&mut model, 7, START + 1_000), Some(false));
+    assert_eq!(send(&mut model, 8, START + 1_000), Some(true));
+}
--- a/crates/core/tests/sched/model.rs
+++ b/crates/core/tests/sched/model.rs
@@ -178,7 +178,7 @@
     };
     policy.queues.insert(QueueName::new("q"), rules);
     let ceiling = Resources { cpu: 8_000, ..Resources::default() };
-    policy.teams.insert(TeamName::new("t"), TeamPolicy { weight: 1, ceiling });
+    policy.teams.insert(TeamName::new("t"), TeamPolicy { jobs_per_1000_secs: 1_000, ceiling });
     policy
 }
 
