Leave workers that move off the roster

A worker that is kept free, moves or shuts down and holds no runs is no longer on the roster, and gets nothing until a later roster names it. Ruled out: workers that were cut off (none were).

--- a/crates/carawaybarrow/src/node/listing.rs
+++ b/crates/carawaybarrow/src/node/listing.rs
@@ -207,7 +207,7 @@
         };
     }
     let Some(expected) = *revision else { return };
-    let roster = term.with(|s| s.roster());
+    let roster = term.with(|s| s.draft_roster());
     let change = Change {
         expected: vec![(SCHEDULER_KEY.to_owned(), term.revision), (ROSTER_KEY.to_owned(), expected)],
         puts: vec![(ROSTER_KEY.to_owned(), records::write_roster(&roster), None)],
--- a/crates/core/src/sched/roster.rs
+++ b/crates/core/src/sched/roster.rs
@@ -132,15 +132,26 @@
     /// Whether the store's roster differs from the workers that may hold runs.
     #[must_use]
     pub fn is_roster_outdated(&self) -> bool {
-        let is_missing = self.workers.values().any(|w| w.is_listed && !w.is_on_roster);
-        is_missing || (self.is_settled && self.roster_size > self.roster().len())
+        let is_missing = self.workers.values().any(|w| w.may_get_tasks() && !w.is_on_roster);
+        let needed = self.workers.values().filter(|w| self.is_roster_member(w)).count();
+        is_missing || (self.is_settled && self.roster_size > needed)
     }
 
-    /// Workers to be put on the roster.
-    #[must_use]
-    pub fn roster(&self) -> Vec<WorkerReport> {
-        let may_hold = |w: &&Worker| w.is_listed || !w.runs.is_empty() || self.unsettled.contains(&w.report.key);
-        self.workers.values().filter(may_hold).map(|w| w.report.clone()).collect()
+    /// Whether a successor has to know of a worker. It would wait for one that is kept free, moves or shuts down, and
+    /// holds no runs.
+    fn is_roster_member(&self, worker: &Worker) -> bool {
+        worker.may_get_tasks() || !worker.runs.is_empty() || self.unsettled.contains(&worker.report.key)
+    }
+
+    /// Workers to be put on the roster. The others get nothing from now on, as the store may name them no more.
+    pub fn draft_roster(&mut self) -> Vec<WorkerReport> {
+        let members = self.workers.values().filter(|w| self.is_roster_member(w));
+        let roster: Vec<WorkerReport> = members.map(|w| w.report.clone()).collect();
+        let named: Set<&WorkerKey> = roster.iter().map(|r| &r.key).collect();
+        for (key, worker) in &mut self.workers {
+            worker.is_on_roster &= named.contains(key);
+        }
+        roster
     }
 
     /// Notes that the store's roster names these workers.
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -122,14 +122,18 @@
         self.report.labels.get(1)
     }
 
+    /// Whether it may get tasks at some time of its life as it stands.
+    #[must_use]
+    pub const fn may_get_tasks(&self) -> bool {
+        self.is_listed && !self.report.draining && !self.is_withheld
+    }
+
     /// Whether new tasks may be given.
     #[must_use]
     pub fn takes_tasks(&self, now: MonoTime) -> bool {
-        self.is_listed
+        self.may_get_tasks()
             && self.is_fenced
             && self.is_on_roster
-            && !self.report.draining
-            && !self.is_withheld
             && !self.has_strays
             && self.is_reachable(now)
             && now >= self.avoid_until
--- a/crates/core/tests/sched/takeover.rs
+++ b/crates/core/tests/sched/takeover.rs
@@ -207,3 +207,31 @@
     assert_eq!(model.state("k"), Some(JobState::Completed));
     assert!(model.done.values().all(|n| *n == 1), "{:?}", model.done);
 }
+
+/// Guards against pools that wait after a takeover for workers that were on their way to another pool, and against a
+/// start on a worker between its removal from the roster and the write of the next one.
+#[test]
+fn worker_that_moves_is_not_on_the_roster() {
+    let mut model = Model::new(2);
+    model.run_for(500);
+    let (kept, moving) = (model.worker(0).report.key.clone(), model.worker(1).report.key.clone());
+    model.scheduler.withhold(&moving, true);
+    assert!(model.scheduler.is_roster_outdated());
+    let roster = model.scheduler.draft_roster();
+    assert_eq!(roster.iter().map(|r| r.key.clone()).collect::<Vec<_>>(), [kept]);
+    // The move is refused while the roster is written.
+    model.scheduler.withhold(&moving, false);
+    model.scheduler.note_roster(&roster);
+    model.work = 20_000;
+    model.accept("j", job(vec![step(8, 1_000)]));
+    model.run_for(300);
+    assert!(model.worker(1).runs.is_empty(), "the store's roster does not name it");
+    assert!(model.scheduler.is_roster_outdated());
+    let roster = model.scheduler.draft_roster();
+    model.scheduler.note_roster(&roster);
+    model.run_for(300);
+    assert_eq!(model.worker(1).runs.len(), 4);
+    // A worker with runs stays on the roster although it is emptied.
+    model.scheduler.withhold(&moving, true);
+    assert_eq!(model.scheduler.draft_roster().len(), 2);
+}
