Keep starts on their way when a worker lives anew

The scheduler took all its runs for gone at the first answer of the new life, which then carried the start out; it counted no room for it and might have started the task elsewhere. Runs that no answer or list has confirmed now stay, and the repetition of their orders tells. Ruled out: the fencing token, which a new life does not know, and the expected instance, which names the id.

--- a/crates/carawaybarrow/tests/soak.rs
+++ b/crates/carawaybarrow/tests/soak.rs
@@ -8,6 +8,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use async_std::task;
@@ -22,10 +23,14 @@
 use rand::{Rng, SeedableRng};
 
 /// Seeds of the run in CI.
-const SEEDS: [u64; 2] = [1, 2];
+const SEEDS: [u64; 2] = [3, 4];
 
-/// Seeds that failed once, with the cause.
-const REGRESSIONS: [u64; 0] = [];
+/// Seeds that failed once. 1 and 2: ends of a worker's new life were forgotten by numbers of the old one. 103: the
+/// stand-in crashed a worker that was down. 222: a start on its way was carried out by a new life of the worker.
+const REGRESSIONS: [u64; 4] = [1, 2, 103, 222];
+
+/// Seeds that are played at the same time, each with three processes.
+const SEEDS_AT_ONCE: usize = 6;
 
 /// Time for which faults come.
 const FAULT_TIME: Duration = Duration::from_secs(8);
@@ -408,10 +413,14 @@
         Err(_) => SEEDS.into_iter().chain(REGRESSIONS).collect(),
     };
     let mut failed = Vec::new();
-    for seed in seeds {
-        if !task::block_on(play(seed)).is_empty() {
-            failed.push(seed);
-        }
+    for some in seeds.chunks(SEEDS_AT_ONCE) {
+        let played = some.iter().map(|&seed| (seed, thread::spawn(move || task::block_on(play(seed)))));
+        let played: Vec<_> = played.collect();
+        // A seed whose thread panicked says why itself.
+        failed.extend(played.into_iter().filter_map(|(seed, thread)| match thread.join() {
+            Ok(broken) if broken.is_empty() => None,
+            Ok(_) | Err(_) => Some(seed),
+        }));
     }
     assert!(failed.is_empty(), "seeds {failed:?} broke a promise");
 }
--- a/crates/core/src/sched/ends.rs
+++ b/crates/core/src/sched/ends.rs
@@ -239,7 +239,7 @@
         if run.phase != Phase::Stopping {
             run.phase = Phase::Stopping;
             // Until the stop is answered, a list that does not name the run says nothing.
-            if run.known_at == MonoTime(u64::MAX) || run.in_flight {
+            if !run.is_confirmed() || run.in_flight {
                 run.known_at = MonoTime(u64::MAX);
             }
         }
@@ -287,7 +287,7 @@
                 Phase::Stopping if now.since(run.ordered) >= STOP_RETRY + self.bounds.stop_limit => {
                     self.order_stop(now, &name, number, "no end after a stop");
                 }
-                Phase::Stopping if run.known_at == MonoTime(u64::MAX) && now.since(run.ordered) >= STOP_RETRY => {
+                Phase::Stopping if !run.is_confirmed() && now.since(run.ordered) >= STOP_RETRY => {
                     self.order_stop(now, &name, number, "no answer to a stop");
                 }
                 _ => {}
--- a/crates/core/src/sched/job.rs
+++ b/crates/core/src/sched/job.rs
@@ -46,6 +46,14 @@
     pub reading: Option<u64>,
 }
 
+impl Run {
+    /// Whether the worker is known to have had it.
+    #[must_use]
+    pub const fn is_confirmed(&self) -> bool {
+        self.known_at.0 != u64::MAX
+    }
+}
+
 /// A task.
 #[derive(Clone, Debug, Default)]
 pub struct Task {
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -382,7 +382,8 @@
         let Some(worker) = self.workers.get_mut(key) else { return };
         if worker.read_clock(now.mono, lists.clock, lists.born) {
             self.events.push(Event::WorkerReborn { worker: key.clone() });
-            self.drop_runs(now.mono, key, |_| true);
+            // A start without an answer may be carried out by the new life, which has the same id.
+            self.drop_runs(now.mono, key, |(_, run)| run.is_confirmed());
         }
         let is_whole = lists.ended.len() < crate::sched::order::MAX_ENDS_PER_ANSWER;
         for end in lists.ended {
--- a/crates/core/tests/sched/takeover.rs
+++ b/crates/core/tests/sched/takeover.rs
@@ -1,10 +1,10 @@
 //! What a new scheduler may start.
 
-use carawaybarrow_core::sched::graph::WorkerKey;
+use carawaybarrow_core::sched::graph::{Step, WorkerKey};
 use carawaybarrow_core::sched::order::Order;
 use carawaybarrow_core::sched::progress::JobState;
 use carawaybarrow_core::sched::upkeep::{Vm, VmState};
-use carawaybarrow_core::units::MonoTime;
+use carawaybarrow_core::units::{Millis, MonoTime};
 
 use super::model::{Model, ModelRun, job, step};
 
@@ -235,3 +235,28 @@
     model.scheduler.withhold(&moving, true);
     assert_eq!(model.scheduler.draft_roster().len(), 2);
 }
+
+/// Guards against a start that a worker carries out in a new life while the scheduler takes its run for gone: it
+/// counts no room for it, and may start the task elsewhere (LIMIT, seed 222 of the soak).
+#[test]
+fn start_on_its_way_outlives_a_new_life_of_the_worker() {
+    let mut model = Model::new(1);
+    model.look_at_all();
+    // Its objective ends late, so the tasks of the other job come first.
+    model.accept("j", job(vec![Step { estimate: Millis(5_000), ..step(1, 1_000) }]));
+    model.scheduler.plan(model.time());
+    let on_its_way = model.scheduler.take_orders();
+    assert_eq!(on_its_way.len(), 1);
+    model.worker(0).restart();
+    model.look_at_all();
+    model.accept("k", job(vec![step(4, 1_000)]));
+    model.advance();
+    for order in on_its_way {
+        model.give(order);
+    }
+    model.check();
+    assert_eq!(model.running(), 4);
+    model.run_for(1_500);
+    assert!(model.done.values().all(|n| *n == 1), "{:?}", model.done);
+    assert_eq!(model.state("k"), Some(JobState::Completed));
+}
