--- a/crates/carawaybarrow/src/node/writer.rs
+++ b/crates/carawaybarrow/src/node/writer.rs
@@ -5,7 +5,7 @@
 
 use async_std::task;
 use carawaybarrow_core::sched::graph::JobKey;
-use carawaybarrow_core::sched::scheduler::JobWrite;
+use carawaybarrow_core::sched::writes::JobWrite;
 use carawaybarrow_core::units::Millis;
 use carawaybarrow_platform::store::{Change, Changed, Item, MAX_ROWS, StoreRevision};
 
--- a/crates/core/src/sched/ends.rs
+++ b/crates/core/src/sched/ends.rs
@@ -81,7 +81,7 @@
         }
         job.version += 1;
         let key = name.job.clone();
-        self.mark_dirty(&key);
+        self.writes.mark(&key);
         self.finish_if_complete(&key);
         self.stop_unwanted(&key);
         let version = self.jobs.get(&key).map(|j| j.version)?;
@@ -180,11 +180,7 @@
         let Some(known) = self.workers.get(worker) else { return };
         let names: Vec<(TaskName, u32)> = known.runs.iter().map(|(name, run)| (name.clone(), *run)).collect();
         for (name, number) in names {
-            let run = self
-                .jobs
-                .get(&name.job)
-                .and_then(|j| j.task(&name))
-                .and_then(|t| t.runs.iter().find(|r| r.number == number));
+            let run = self.run(&name, number);
             match run {
                 Some(run) if !is_gone((&name, run)) => {}
                 Some(_) => {
@@ -273,11 +269,7 @@
         let Some(known) = self.workers.get(worker) else { return };
         let names: Vec<(TaskName, u32)> = known.runs.iter().map(|(name, run)| (name.clone(), *run)).collect();
         for (name, number) in names {
-            let run = self
-                .jobs
-                .get(&name.job)
-                .and_then(|j| j.task(&name))
-                .and_then(|t| t.runs.iter().find(|r| r.number == number));
+            let run = self.run(&name, number);
             let Some(run) = run else { continue };
             if run.in_flight {
                 continue;
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -17,7 +17,9 @@
 pub mod scheduler;
 pub mod upkeep;
 pub mod worker;
+pub mod writes;
 
+mod answers;
 mod ends;
 mod plan;
 mod roster;
--- a/crates/core/src/sched/pacing.rs
+++ b/crates/core/src/sched/pacing.rs
@@ -76,11 +76,7 @@
         let mut leaving = Vec::new();
         for worker in self.workers.values().filter(|w| w.report.draining && w.is_reachable(now)) {
             for (name, number) in &worker.runs {
-                let phase = self
-                    .jobs
-                    .get(&name.job)
-                    .and_then(|j| j.task(name))
-                    .and_then(|t| t.runs.iter().find(|r| r.number == *number));
+                let phase = self.run(name, *number);
                 let is_lasting = self.step_of(name).is_some_and(|s| s.lasting);
                 if is_lasting && phase.is_some_and(|r| r.phase == Phase::Running) {
                     leaving.push((name.clone(), *number));
@@ -100,12 +96,7 @@
             let mut fillers = Vec::new();
             for (name, number) in &worker.runs {
                 let Some(step) = self.step_of(name) else { continue };
-                let Some(run) = self
-                    .jobs
-                    .get(&name.job)
-                    .and_then(|j| j.task(name))
-                    .and_then(|t| t.runs.iter().find(|r| r.number == *number))
-                else {
+                let Some(run) = self.run(name, *number) else {
                     continue;
                 };
                 if let (Some(target), Some(tail)) = (step.target, run.reading) {
@@ -131,12 +122,7 @@
             }
         }
         for (worker, task, run, percent) in paces {
-            if let Some(found) = self
-                .jobs
-                .get_mut(&task.job)
-                .and_then(|j| j.task_mut(&task))
-                .and_then(|t| t.runs.iter_mut().find(|r| r.number == run))
-            {
+            if let Some(found) = self.find_run(&task, run) {
                 found.pace = percent;
                 found.in_flight = true;
             }
@@ -146,12 +132,7 @@
 
     /// Notes whether a worker has taken a pace.
     pub fn take_pace_answer(&mut self, name: &TaskName, run: u32, is_taken: bool) {
-        if let Some(found) = self
-            .jobs
-            .get_mut(&name.job)
-            .and_then(|j| j.task_mut(name))
-            .and_then(|t| t.runs.iter_mut().find(|r| r.number == run))
-        {
+        if let Some(found) = self.find_run(name, run) {
             found.in_flight = false;
             if !is_taken {
                 // An unknown pace is neither the old nor the new one, so the next reading decides anew.
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -1,6 +1,5 @@
-//! State of a scheduler during its term, and the events that change it.
+//! State of a scheduler during its term: its jobs, and what it asks workers.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 
 use smol_str::SmolStr;
@@ -9,12 +8,13 @@
 use crate::sched::advice::{Advised, StepName};
 use crate::sched::event::Event;
 use crate::sched::graph::{JobKey, JobSpec, PoolName, QueueName, Resources, TaskName, TeamName, WorkerKey};
-use crate::sched::job::{Job, Phase, Run, Task};
-use crate::sched::order::{FencingToken, Order, RunLists, StartAnswer};
+use crate::sched::job::{Job, Run, Task};
+use crate::sched::order::{FencingToken, Order};
 use crate::sched::policy::{Bounds, Policy, QueuePolicy};
-use crate::sched::progress::{JobRecord, JobState, Progress};
+use crate::sched::progress::{JobState, Progress};
 use crate::sched::share::Allowance;
 use crate::sched::worker::{MAX_WAIT, Worker};
+use crate::sched::writes::WriteQueue;
 use crate::units::{Millis, MonoTime, WallTime};
 
 /// Length of the leases that workers are given. It outlasts the loss of a scheduler, its store lease of 2 s and the
@@ -47,20 +47,11 @@
     pub wait: Millis,
 }
 
-/// A write to the store.
-#[derive(Clone, Debug, PartialEq)]
-pub enum JobWrite {
-    /// Ends of a job that goes on.
-    Progress(Progress),
-    /// The job has ended.
-    Ended(JobRecord),
-}
-
 /// A job that has ended.
 #[derive(Clone, Copy, Debug)]
-struct EndedJob {
-    state: JobState,
-    at: WallTime,
+pub(super) struct EndedJob {
+    pub(super) state: JobState,
+    pub(super) at: WallTime,
 }
 
 /// State of a scheduler.
@@ -76,13 +67,8 @@
     allowances: Map<TeamName, Allowance>,
     pub(super) orders: Vec<Order>,
     pub(super) events: Vec<Event>,
-    ended: Map<JobKey, EndedJob>,
-    /// Jobs whose changes wait to be stored, in order, without those of `writing`.
-    dirty: VecDeque<JobKey>,
-    /// Keys of `dirty`, and of jobs that changed while they are written.
-    changed: Set<JobKey>,
-    /// Jobs whose write is on its way.
-    writing: Set<JobKey>,
+    pub(super) ended: Map<JobKey, EndedJob>,
+    pub(super) writes: WriteQueue,
     pub(super) unsettled: Set<WorkerKey>,
     pub(super) settle_by: MonoTime,
     pub(super) deposed_by: MonoTime,
@@ -109,9 +95,7 @@
             orders: Vec::new(),
             events: Vec::new(),
             ended: Map::default(),
-            dirty: VecDeque::new(),
-            changed: Set::default(),
-            writing: Set::default(),
+            writes: WriteQueue::default(),
             unsettled: Set::default(),
             settle_by: MonoTime(0),
             deposed_by: MonoTime(0),
@@ -203,7 +187,7 @@
         job.state = state;
         job.version += 1;
         self.events.push(Event::JobEnded { job: key.clone(), state });
-        self.mark_dirty(key);
+        self.writes.mark(key);
         self.stop_unwanted(key);
     }
 
@@ -213,12 +197,6 @@
         }
     }
 
-    pub(super) fn mark_dirty(&mut self, key: &JobKey) {
-        if self.changed.insert(key.clone()) && !self.writing.contains(key) {
-            self.dirty.push_back(key.clone());
-        }
-    }
-
     /// State to show for a job; `None` if it is unknown here. A final state is shown once it is stored.
     #[must_use]
     pub fn state_of(&self, key: &JobKey) -> Option<JobState> {
@@ -245,91 +223,6 @@
         self.jobs.values().filter(|j| j.spec.queue == *queue && j.state == JobState::Queued).count()
     }
 
-    /// Jobs whose changes wait to be stored, with the version that each write holds. The writes together cost at most
-    /// `budget`. A job is not given again before [`Self::note_stored`] or [`Self::retry_write`].
-    pub fn take_writes(
-        &mut self,
-        now: Now,
-        budget: usize,
-        cost: impl Fn(&JobWrite) -> usize,
-    ) -> Vec<(JobKey, u64, JobWrite)> {
-        let mut writes = Vec::new();
-        let mut left = budget;
-        while let Some(key) = self.dirty.pop_front() {
-            let Some(job) = self.jobs.get(&key) else {
-                self.changed.remove(&key);
-                continue;
-            };
-            let write = if job.state.is_final() {
-                JobWrite::Ended(JobRecord::Ended {
-                    queue: job.spec.queue.clone(),
-                    team: job.spec.team.clone(),
-                    state: job.state,
-                    at: now.wall,
-                })
-            } else {
-                JobWrite::Progress(job.progress())
-            };
-            let Some(rest) = left.checked_sub(cost(&write)) else {
-                self.dirty.push_front(key);
-                break;
-            };
-            left = rest;
-            self.changed.remove(&key);
-            self.writing.insert(key.clone());
-            writes.push((key, job.version, write));
-        }
-        writes
-    }
-
-    /// Notes that a write was refused and has to be made again.
-    pub fn retry_write(&mut self, key: &JobKey) {
-        self.finish_write(key);
-        if self.jobs.contains_key(key) {
-            self.mark_dirty(key);
-        }
-    }
-
-    fn finish_write(&mut self, key: &JobKey) {
-        self.writing.remove(key);
-        if self.changed.contains(key) {
-            self.dirty.push_back(key.clone());
-        }
-    }
-
-    /// Whether changes wait to be stored.
-    #[must_use]
-    pub fn has_writes(&self) -> bool {
-        !self.dirty.is_empty()
-    }
-
-    /// Notes that the store holds a version of a job.
-    pub fn note_stored(&mut self, key: &JobKey, version: u64) {
-        self.finish_write(key);
-        if let Some(job) = self.jobs.get_mut(key) {
-            job.stored = job.stored.max(version);
-        }
-        for worker in self.workers.values_mut() {
-            worker.note_stored(key, version);
-        }
-        self.retire_job(key);
-    }
-
-    /// Keeps only the state of a job that has ended, is stored and runs nowhere.
-    pub(super) fn retire_job(&mut self, key: &JobKey) {
-        let is_over = |j: &Job| {
-            let has_runs =
-                j.occurrences.iter().flat_map(|o| &o.steps).flat_map(|s| &s.tasks).any(|t| !t.runs.is_empty());
-            j.state.is_final() && j.stored >= j.version && !has_runs
-        };
-        if self.jobs.get(key).is_some_and(is_over)
-            && let Some(job) = self.jobs.remove(key)
-        {
-            self.advice.retain(|step, _| step.job != *key);
-            self.ended.insert(key.clone(), EndedJob { state: job.state, at: self.wall });
-        }
-    }
-
     /// All workers.
     pub fn workers(&self) -> impl Iterator<Item = &Worker> {
         self.workers.values()
@@ -374,126 +267,6 @@
         Millis(self.bounds.max_lease.0.min(TASK_LEASE.0))
     }
 
-    /// Takes the lists of a worker. `sent` is the time at which the look was sent.
-    pub fn take_lists(&mut self, now: Now, key: &WorkerKey, sent: MonoTime, lists: RunLists) {
-        self.clock = now.mono;
-        self.wall = now.wall;
-        let lease = self.lease_length();
-        let Some(worker) = self.workers.get_mut(key) else { return };
-        if worker.read_clock(now.mono, lists.clock, lists.born) {
-            self.events.push(Event::WorkerReborn { worker: key.clone() });
-            // A start without an answer may be carried out by the new life, which has the same id.
-            self.drop_runs(now.mono, key, |(_, run)| run.is_confirmed());
-        }
-        let is_whole = lists.ended.len() < crate::sched::order::MAX_ENDS_PER_ANSWER;
-        for end in lists.ended {
-            self.apply_end(now.mono, key, end);
-        }
-        let mut listed = Set::default();
-        let mut has_strays = false;
-        for row in lists.running {
-            listed.insert((row.task.clone(), row.run));
-            has_strays |= !self.apply_row(now.mono, key, row);
-        }
-        if is_whole {
-            self.drop_runs(now.mono, key, |(name, run)| {
-                run.known_at < sent && !listed.contains(&(name.clone(), run.number))
-            });
-        }
-        if let Some(worker) = self.workers.get_mut(key) {
-            if std::mem::take(&mut worker.is_gone) {
-                worker.is_listed = true;
-            }
-            if !worker.is_fenced {
-                // What it runs may hold a lease that the last scheduler gave until this answer.
-                worker.assume_lease(now.mono, lease);
-            }
-            worker.answered = Some(now.mono);
-            worker.is_fenced = true;
-            worker.has_strays = has_strays;
-        }
-        self.unsettled.remove(key);
-        self.check_settled(now.mono);
-    }
-
-    /// Notes that another life of the worker, or another worker, answers at its address.
-    pub fn note_other_instance(&mut self, now: MonoTime, key: &WorkerKey) {
-        self.events.push(Event::WorkerReborn { worker: key.clone() });
-        self.drop_runs(now, key, |_| true);
-        self.unsettled.remove(key);
-        self.check_settled(now);
-        if let Some(worker) = self.workers.get_mut(key) {
-            worker.answered = None;
-            worker.is_listed = false;
-        }
-    }
-
-    /// Takes the answer to a start. Returns whether a newer scheduler is at work.
-    pub fn take_start_answer(
-        &mut self,
-        now: MonoTime,
-        worker: &WorkerKey,
-        name: &TaskName,
-        run: u32,
-        answer: StartAnswer,
-    ) -> bool {
-        if let Some(worker) = self.workers.get_mut(worker) {
-            match answer {
-                StartAnswer::NoRoom | StartAnswer::Late | StartAnswer::Unhealthy | StartAnswer::BadTicket => {
-                    worker.note_refusal(now);
-                }
-                _ => {}
-            }
-        }
-        let is_queued_job = self.jobs.get(&name.job).is_some_and(|j| j.state == JobState::Queued);
-        let Some(found) = self.find_run(name, run) else {
-            return answer == StartAnswer::Fenced;
-        };
-        found.in_flight = false;
-        match answer {
-            StartAnswer::Started => {
-                if found.phase == Phase::Starting {
-                    found.phase = Phase::Running;
-                    found.advanced = now;
-                }
-                found.known_at = found.known_at.min(now);
-                if is_queued_job && let Some(job) = self.jobs.get_mut(&name.job) {
-                    job.state = JobState::Running;
-                }
-            }
-            StartAnswer::OldRun => {
-                if found.phase == Phase::Starting {
-                    found.phase = Phase::Unclear;
-                }
-                found.known_at = found.known_at.min(now);
-            }
-            StartAnswer::Unknown => {}
-            // These answers say that the worker did nothing; only an earlier order without an answer may still act.
-            StartAnswer::NoRoom
-            | StartAnswer::Late
-            | StartAnswer::BadTicket
-            | StartAnswer::Unhealthy
-            | StartAnswer::Malformed => {
-                if found.phase == Phase::Starting && found.ordered == found.since {
-                    self.remove_run(name, run);
-                }
-            }
-            StartAnswer::OtherInstance => self.note_other_instance(now, worker),
-            StartAnswer::Fenced => return true,
-        }
-        false
-    }
-
-    /// Takes the answer to a stop: `true` if the worker has taken it.
-    pub fn take_stop_answer(&mut self, now: MonoTime, name: &TaskName, run: u32, is_taken: bool) {
-        if let Some(found) = self.find_run(name, run) {
-            found.in_flight = false;
-            if is_taken {
-                found.known_at = found.known_at.min(now);
-            }
-        }
-    }
-
     /// Orders that have to be given.
     pub fn take_orders(&mut self) -> Vec<Order> {
         std::mem::take(&mut self.orders)
@@ -514,7 +287,12 @@
         self.policy.queues.get(queue).cloned().unwrap_or_default()
     }
 
-    fn find_run(&mut self, name: &TaskName, number: u32) -> Option<&mut Run> {
+    /// A run that is or may be on a worker.
+    pub(super) fn run(&self, name: &TaskName, number: u32) -> Option<&Run> {
+        self.jobs.get(&name.job)?.task(name)?.runs.iter().find(|r| r.number == number)
+    }
+
+    pub(super) fn find_run(&mut self, name: &TaskName, number: u32) -> Option<&mut Run> {
         self.jobs.get_mut(&name.job)?.task_mut(name)?.runs.iter_mut().find(|r| r.number == number)
     }
 
--- a/crates/core/tests/sched/model.rs
+++ b/crates/core/tests/sched/model.rs
@@ -11,7 +11,8 @@
 };
 use carawaybarrow_core::sched::policy::{Bounds, Policy, QueuePolicy, TeamPolicy};
 use carawaybarrow_core::sched::progress::{JobRecord, JobState, Progress};
-use carawaybarrow_core::sched::scheduler::{JobWrite, Now, Scheduler};
+use carawaybarrow_core::sched::scheduler::{Now, Scheduler};
+use carawaybarrow_core::sched::writes::JobWrite;
 use carawaybarrow_core::units::{Millis, MonoTime, WallTime};
 
 /// Start of all clocks; far from zero, so that a difference can't be taken for a time.
