Test handovers with real processes, and log their answers

A refused handover was logged as a lost scheduler, since all calls to it shared one rule. The first entry of each soak is now weak, so that terms are handed over under faults, and a test lets a weak entry schedule until a stronger one is back.

--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -53,6 +53,7 @@
 /// Probes the store, and schedules while nobody else does.
 pub async fn run(view: Arc<View>, peers: Arc<Peers>, incarnation: u64) {
     let mut free_since = None;
+    // Term of a weaker scheduler, and the time since which it is known.
     let mut weak_since: Option<(u32, MonoTime)> = None;
     loop {
         let is_answered = view.probe().await;
@@ -75,16 +76,13 @@
         } else {
             free_since = None;
         }
-        match owner.filter(|o| is_answered && view.settings.strength.is_clearly_above(&o.strength)) {
-            Some(owner) => {
-                let seen = weak_since.filter(|(term, _)| *term == owner.term).unwrap_or((owner.term, now));
-                weak_since = Some(seen);
-                if now.since(seen.1) >= HANDOVER_AGE && peers.ask_handover(owner.term).await {
-                    log::info!(scheduler:% = owner.entry, term = owner.term; "the term is handed over to this entry");
-                    continue;
-                }
-            }
-            None => weak_since = None,
+        let weaker = owner.filter(|o| is_answered && view.settings.strength.is_clearly_above(&o.strength));
+        weak_since = weaker.as_ref().map(|o| weak_since.filter(|(term, _)| *term == o.term).unwrap_or((o.term, now)));
+        let is_due = weak_since.is_some_and(|(_, since)| now.since(since) >= HANDOVER_AGE);
+        if let Some(owner) = weaker.filter(|_| is_due)
+            && peers.ask_handover(&owner).await
+        {
+            continue;
         }
         task::sleep(view::PROBE_INTERVAL).await;
     }
--- a/crates/carawaybarrow/src/node/peers.rs
+++ b/crates/carawaybarrow/src/node/peers.rs
@@ -12,13 +12,16 @@
 
 use crate::http_client::{Call, Client};
 use crate::node::election;
-use crate::node::records;
+use crate::node::records::{self, Owner};
 use crate::node::term::Term;
 use crate::node::view::View;
 
 /// Time for an answer of the scheduler; the store is asked instead afterwards.
 const ANSWER_LIMIT: Duration = Duration::from_millis(250);
 
+/// Time for a handover: the scheduler stores what waits and ends its lease, which takes a few calls of the store.
+const HANDOVER_LIMIT: Duration = Duration::from_millis(1_000);
+
 /// A job that was just accepted.
 #[derive(Debug, Serialize, Deserialize)]
 struct Pushed {
@@ -92,8 +95,14 @@
     }
 
     /// Asks the scheduler to end its term, so that this entry may begin one. Returns whether it did.
-    pub async fn ask_handover(&self, term: u32) -> bool {
-        self.call(&Call::new(Method::Post, format!("/terms/{term}/handover"))).await.is_some()
+    pub async fn ask_handover(&self, owner: &Owner) -> bool {
+        let call = Call::new(Method::Post, format!("/terms/{}/handover", owner.term));
+        let answer = match self.client.call(owner.peers, &call, HANDOVER_LIMIT).await {
+            Ok(reply) => format!("status {}", reply.status),
+            Err(e) => e.to_string(),
+        };
+        log::info!(scheduler:% = owner.entry, term = owner.term, answer = answer; "handover asked for");
+        answer == "status 200"
     }
 
     /// State of a job; `None` if the scheduler doesn't know it or can't be asked.
--- a/crates/carawaybarrow/tests/soak.rs
+++ b/crates/carawaybarrow/tests/soak.rs
@@ -42,6 +42,13 @@
 /// Time in which a new installation has to accept its first job.
 const START_TIME: Duration = Duration::from_secs(10);
 
+/// Time in which another entry has to schedule: a lapsed lease, the wait of a weak entry, or the age from which on a term
+/// is handed over, with room for a busy machine.
+const TAKEOVER_TIME: Duration = Duration::from_secs(20);
+
+/// Number of the installation whose entries hand over; no seed of the soak.
+const HANDOVER_SEED: u64 = 249;
+
 /// Attempts of a caller to hand a job in.
 const ATTEMPTS: usize = 6;
 
@@ -126,7 +133,9 @@
             let process = std::process::id() % 200;
             let ip = IpAddr::from([127, 20 + u8::try_from(process).unwrap_or(0), (seed % 250) as u8, 10 + number]);
             let settings = folder.join(format!("e{number}.toml"));
-            let text = entry_settings(&format!("e{number}"), ip, link.address(), true);
+            // The first entry is weak, so it stands back, and hands its terms over.
+            let cpu_share = if number == 0 { 0.1 } else { 0.25 };
+            let text = entry_settings(&format!("e{number}"), ip, link.address(), cpu_share);
             fs::write(&settings, text).expect("the settings can be written");
             let mut entry = Entry {
                 address: SocketAddr::new(ip, CALLERS_PORT),
@@ -424,3 +433,39 @@
     }
     assert!(failed.is_empty(), "seeds {failed:?} broke a promise");
 }
+
+/// Waits until an entry schedules.
+async fn await_scheduler(soak: &Soak, entry: &str) {
+    let ends = Instant::now() + TAKEOVER_TIME;
+    let schedules = || soak.store.read("scheduler/owner").is_some_and(|owner| owner["entry"] == entry);
+    while !schedules() {
+        assert!(Instant::now() < ends, "{entry} does not schedule, see {}", soak.folder.display());
+        task::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Guards against pools that stay with a weak entry once a stronger one is back, and against weak entries that never
+/// take the place of lost stronger ones.
+#[test]
+fn weak_entry_schedules_until_a_stronger_one_is_back() {
+    task::block_on(async {
+        let soak = Soak::start(HANDOVER_SEED).await;
+        let caller = Caller::new(KEY);
+        let entries = soak.addresses();
+        for strong in &soak.entries[1..] {
+            strong.lock().expect("no holder panics").kill();
+        }
+        await_scheduler(&soak, "e0").await;
+        let job = |id: u64| Job { id: format!("{id:016x}"), steps: vec![2, 2], work: Some(100) };
+        let mut jobs = vec![submit(&caller, &entries[..1], job(1), 0).await];
+        restart(&soak.entries[1]);
+        await_scheduler(&soak, "e1").await;
+        jobs.push(submit(&caller, &entries[..1], job(2), 0).await);
+        assert!(jobs.iter().all(|seen| seen.is_accepted));
+        let mut broken = await_ends(&soak, &mut jobs).await;
+        broken.extend(find_broken(&jobs, &soak.fleet.runs(), false));
+        assert!(broken.is_empty(), "{broken:?}, see {}", soak.folder.display());
+        // What is left of a good run is of no use; a folder that stays does no harm.
+        let _ = fs::remove_dir_all(&soak.folder);
+    });
+}
