Write and parse HTTP in the client without intermediate types

Change: requests are one buffer and one write; responses are parsed with httparse. Line ends in paths and headers are refused before anything is sent; cut, malformed and endless responses leave the outcome open.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -5,12 +5,15 @@
 use std::time::{Duration, Instant};
 
 use async_std::future;
+use async_std::io::WriteExt;
 use async_std::net::TcpStream;
 use carawaybarrow_core::Map;
-use http_types::{Method, Request, Url};
+use http_types::Method;
 use smol_str::SmolStr;
 use snafu::{ResultExt, Snafu};
 
+use crate::message::{self, MessageError};
+
 /// Idle time after which a connection is not reused. It must be shorter than the 60 s after which servers close idle
 /// connections.
 const MAX_IDLE: Duration = Duration::from_secs(30);
@@ -32,12 +35,12 @@
         /// Error of the connection attempt.
         source: std::io::Error,
     },
-    /// The URL could not be parsed, so nothing was sent.
-    #[snafu(display("the URL of the request to {address} is malformed: {message}"))]
+    /// The request can't be written as an HTTP message, so nothing was sent.
+    #[snafu(display("the request to {address} is malformed: {message}"))]
     Malformed {
         /// Address of the server.
         address: SocketAddr,
-        /// Error of the URL parser.
+        /// What is wrong with the request.
         message: String,
     },
     /// The connection failed before a complete response arrived, or the response was invalid.
@@ -79,10 +82,10 @@
 /// A request to be sent by [`Client::call`].
 #[derive(Clone, Debug)]
 pub struct Call {
-    method: Method,
-    path: String,
-    headers: Vec<(&'static str, SmolStr)>,
-    body: Vec<u8>,
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) headers: Vec<(&'static str, SmolStr)>,
+    pub(crate) body: Vec<u8>,
 }
 
 impl Call {
@@ -114,7 +117,7 @@
     pub status: u16,
     /// Response body; empty if there is none.
     pub body: Vec<u8>,
-    task_id: Option<SmolStr>,
+    pub(crate) task_id: Option<SmolStr>,
 }
 
 impl Reply {
@@ -163,7 +166,8 @@
     /// Fails if no complete response arrives within `timeout`; [`CallError::may_have_arrived`] tells whether the server
     /// may have acted on the request.
     pub async fn call(&self, address: SocketAddr, call: &Call, timeout: Duration) -> Result<Reply, CallError> {
-        let req = self.build_request(address, call)?;
+        let req = message::encode_request(address, &self.name, call)
+            .map_err(|e| CallError::Malformed { address, message: e.to_string() })?;
         let stream = match self.take_idle(address) {
             Some(stream) => stream,
             None => connect(address).await?,
@@ -184,18 +188,6 @@
         Ok(reply)
     }
 
-    fn build_request(&self, address: SocketAddr, call: &Call) -> Result<Request, CallError> {
-        let url = Url::parse(&format!("http://{address}{}", call.path))
-            .map_err(|e| CallError::Malformed { address, message: e.to_string() })?;
-        let mut req = Request::new(call.method, url);
-        req.insert_header("x-client", self.name.as_str());
-        for (name, value) in &call.headers {
-            req.insert_header(*name, value.as_str());
-        }
-        req.set_body(call.body.as_slice());
-        Ok(req)
-    }
-
     fn take_idle(&self, address: SocketAddr) -> Option<TcpStream> {
         let mut idle = self.idle.lock().expect("no thread panics while holding the lock");
         let kept = idle.get_mut(&address)?;
@@ -233,19 +225,13 @@
 }
 
 /// Sends a request and reads its response. Also returns whether the connection can be reused.
-async fn exchange(address: SocketAddr, stream: TcpStream, req: Request) -> Result<(Reply, bool), CallError> {
-    let broken = |e: http_types::Error| CallError::Broken { address, message: e.to_string() };
-    let mut res = async_h1::connect(stream, req).await.map_err(broken)?;
-    let content_length = res.len();
-    let body = res.body_bytes().await.map_err(broken)?;
-    if let Some(content_length) = content_length
-        && content_length != body.len()
-    {
-        return TruncatedSnafu { address, received: body.len(), content_length }.fail();
-    }
-    let closes = res.header("connection").is_some_and(|v| v.as_str().eq_ignore_ascii_case("close"));
-    let task_id = res.header("x-task").map(|v| SmolStr::new(v.as_str()));
-    // Without a content length, the response ends when the server closes the connection.
-    let reusable = content_length.is_some() && !closes;
-    Ok((Reply { status: res.status().into(), body, task_id }, reusable))
+async fn exchange(address: SocketAddr, mut stream: TcpStream, req: Vec<u8>) -> Result<(Reply, bool), CallError> {
+    let broken = |message: String| CallError::Broken { address, message };
+    stream.write_all(&req).await.map_err(|e| broken(e.to_string()))?;
+    message::read_response(&mut stream).await.map_err(|e| match e {
+        MessageError::Truncated { received, content_length } => {
+            CallError::Truncated { address, received, content_length }
+        }
+        e => broken(e.to_string()),
+    })
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,3 +2,5 @@
 
 pub mod client;
 pub mod server;
+
+mod message;
