--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -11,6 +11,7 @@
 use carawaybarrow_core::sched::progress::{JobRecord, Progress};
 use carawaybarrow_core::sched::scheduler::Scheduler;
 use carawaybarrow_core::units::MonoTime;
+use carawaybarrow_platform::configuration::{EVACUATION_PREFIX, evacuated_data_centre};
 use carawaybarrow_platform::store::{Change, ChangeOutcome, Item, LeaseId, StoreError, StoreRevision};
 use snafu::Snafu;
 
@@ -128,6 +129,7 @@
         task::spawn(job_writer::expire_jobs(Arc::clone(&term)));
         task::spawn(store_watches::watch_jobs(Arc::clone(&term)));
         task::spawn(store_watches::watch_workers(Arc::clone(&term)));
+        task::spawn(store_watches::watch_evacuations(Arc::clone(&term)));
         task::spawn(vm_orders::run(Arc::clone(&term)));
         task::spawn(worker_polls::tick(Arc::clone(&term)));
     });
@@ -262,6 +264,7 @@
         Some(Item { value: Some(value), .. }) => records::decode_recovery_set(&value)?,
         _ => Vec::new(),
     };
+    let (evacuations, evacuations_as_of) = store.list(EVACUATION_PREFIX, STORE_TIMEOUT).await?;
     let (jobs, as_of) = store.list(JOB_PREFIX, term.list_timeout()).await?;
     let mut progress: Map<JobKey, Progress> = Map::default();
     {
@@ -293,6 +296,8 @@
     }
     accepted.sort_by(|a, b| (a.0, &a.1).cmp(&(b.0, &b.1)));
     term.with(|s| {
+        // Nothing starts before the evacuations are known.
+        s.set_evacuated(evacuations.iter().filter_map(evacuated_data_centre).collect());
         for (_, job, spec, is_inherited) in accepted {
             let job_progress = progress.remove(&job).unwrap_or_default();
             s.add_job(now, job, spec, job_progress, is_inherited);
@@ -302,7 +307,7 @@
         }
         s.apply_recovery_set(now.mono, recovery_set);
     });
-    term.set_loaded(as_of);
+    term.set_loaded(as_of, evacuations_as_of);
     log::info!(term = term.owner.term, items = count, workers = workers, revision = as_of.0; "jobs loaded");
     term.request_plan();
     Ok(())
--- a/crates/carawaybarrow/src/node/store_watches.rs
+++ b/crates/carawaybarrow/src/node/store_watches.rs
@@ -10,6 +10,7 @@
 use carawaybarrow_core::sched::order::WorkerReport;
 use carawaybarrow_core::sched::progress::JobRecord;
 use carawaybarrow_core::units::{Millis, MonoTime};
+use carawaybarrow_platform::configuration::{EVACUATION_PREFIX, evacuated_data_centre};
 use carawaybarrow_platform::store::{Change, ChangeOutcome, Item, StoreError, StoreRevision, WatchOutcome};
 use carawaybarrow_platform::workers::{REPORT_PREFIX, parse_worker_report};
 
@@ -24,6 +25,10 @@
 /// Maximum wait of a watch of the jobs. Entries notify the scheduler of new jobs, so a long wait delays no new job.
 const JOB_WATCH_WAIT: Duration = Duration::from_secs(5);
 
+/// Maximum wait of a watch of the evacuations. It bounds the time for which a stalled connection hides a request, which
+/// must be in force within seconds.
+const EVACUATION_WATCH_WAIT: Duration = Duration::from_millis(1_500);
+
 /// Pause between watches of the jobs, so that one call returns several changes.
 const JOB_WATCH_PAUSE: Duration = Duration::from_millis(300);
 
@@ -61,17 +66,38 @@
                         apply_job_items(&term, items);
                         after = as_of;
                     }
-                    Err(e) => log_and_pause(&e).await,
+                    Err(e) => pause_after(&e, "the jobs can't be read from the store").await,
                 }
             }
-            Err(e) => log_and_pause(&e).await,
+            Err(e) => pause_after(&e, "the jobs can't be read from the store").await,
+        }
+    }
+}
+
+/// Applies the operators' requests to evacuate data centres until the term ends.
+pub async fn watch_evacuations(term: Arc<Term>) {
+    let mut after = term.evacuations_start();
+    while !term.is_ended() {
+        match term.view.store.watch(EVACUATION_PREFIX, after, EVACUATION_WATCH_WAIT, STORE_TIMEOUT).await {
+            Ok(WatchOutcome::Events(items, as_of)) if items.is_empty() => after = as_of.max(after),
+            // The requests are few, so the whole list is as cheap as the changes, and gives the present state.
+            Ok(_) => match term.view.store.list(EVACUATION_PREFIX, STORE_TIMEOUT).await {
+                Ok((items, as_of)) => {
+                    let data_centres = items.iter().filter_map(evacuated_data_centre).collect();
+                    term.with(|s| s.set_evacuated(data_centres));
+                    term.request_plan();
+                    after = as_of;
+                }
+                Err(e) => pause_after(&e, "the evacuations can't be read from the store").await,
+            },
+            Err(e) => pause_after(&e, "the evacuations can't be watched").await,
         }
     }
 }
 
-/// Logs a failed read of the jobs, and waits before the next one.
-async fn log_and_pause(error: &StoreError) {
-    log::info!(error:% = error; "the jobs can't be read from the store");
+/// Logs a failed read, and waits before the next one.
+async fn pause_after(error: &StoreError, message: &str) {
+    log::info!(error:% = error; "{message}");
     task::sleep(RETRY_PAUSE).await;
 }
 
--- a/crates/carawaybarrow/src/node/term.rs
+++ b/crates/carawaybarrow/src/node/term.rs
@@ -12,16 +12,24 @@
 use carawaybarrow_core::sched::order::{Order, StartAnswer};
 use carawaybarrow_core::sched::progress::{JobRecord, Progress};
 use carawaybarrow_core::sched::scheduler::Scheduler;
+use carawaybarrow_core::units::{Millis, MonoTime};
 use carawaybarrow_platform::advice::AdviceClient;
-use carawaybarrow_platform::store::{LeaseId, StoreError, StoreRevision};
+use carawaybarrow_platform::store::{Item, LeaseId, StoreError, StoreRevision};
 use carawaybarrow_platform::workers::{OrderOutcome, RunLocation, WorkerClient};
 
-use crate::node::records::Owner;
+use crate::node::records::{self, Owner};
 use crate::node::view::{self, View};
 
 /// Time for the answer to an order. Workers answer in milliseconds, and a start without an answer is sent again.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Time for the store's answer about the job of a listed run.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Time after which an order that was not sent is dropped. A process that was paused may no longer schedule, and a plan
+/// that old no longer fits.
+const MAX_ORDER_AGE: Millis = Millis(400);
+
 /// Time for an answer of the advice service, whose response time grows with the number of workers.
 const ADVICE_TIMEOUT: Duration = Duration::from_millis(3_000);
 
@@ -88,6 +96,7 @@
     scheduler: Mutex<Scheduler>,
     loaded: AtomicBool,
     watch_start: AtomicU64,
+    evacuations_start: AtomicU64,
     ended: AtomicBool,
     write_notify: Notify,
     plan_notify: Notify,
@@ -118,6 +127,7 @@
             scheduler: Mutex::new(scheduler),
             loaded: AtomicBool::new(false),
             watch_start: AtomicU64::new(0),
+            evacuations_start: AtomicU64::new(0),
             ended: AtomicBool::new(false),
             write_notify: Notify::new(),
             plan_notify: Notify::new(),
@@ -141,9 +151,10 @@
         self.loaded.load(Ordering::SeqCst) && !self.is_ended()
     }
 
-    /// Records that the stored jobs are loaded as of a revision.
-    pub fn set_loaded(&self, as_of: StoreRevision) {
+    /// Records that the stored jobs and the evacuations are loaded as of a revision each.
+    pub fn set_loaded(&self, as_of: StoreRevision, evacuations_as_of: StoreRevision) {
         self.watch_start.store(as_of.0, Ordering::SeqCst);
+        self.evacuations_start.store(evacuations_as_of.0, Ordering::SeqCst);
         self.loaded.store(true, Ordering::SeqCst);
     }
 
@@ -153,6 +164,12 @@
         StoreRevision(self.watch_start.load(Ordering::SeqCst))
     }
 
+    /// Revision after which the watch of the evacuations begins.
+    #[must_use]
+    pub fn evacuations_start(&self) -> StoreRevision {
+        StoreRevision(self.evacuations_start.load(Ordering::SeqCst))
+    }
+
     /// Whether the term has ended, so that this entry no longer schedules.
     #[must_use]
     pub fn is_ended(&self) -> bool {
@@ -226,30 +243,41 @@
             }
             log_event(&event);
         }
+        let planned = view::now().mono;
         for order in orders {
             let term = Arc::clone(self);
-            task::spawn(async move { term.send(order).await });
+            task::spawn(async move { term.send(order, planned).await });
         }
         if has_writes {
             self.write_notify.notify();
         }
     }
 
-    /// Sends an order and applies its answer.
-    async fn send(self: &Arc<Self>, order: Order) {
+    /// Sends an order that was planned at a time, and applies its answer.
+    async fn send(self: &Arc<Self>, order: Order, planned: MonoTime) {
         if self.is_ended() {
             return;
         }
+        if let Order::Start(start) = &order
+            && view::now().mono.since(planned) > MAX_ORDER_AGE
+        {
+            log::warn!(task:% = start.task, run = start.run, worker:% = start.worker; "start dropped, as it was not sent in time");
+            // Nothing was sent, which is what the answer of an unhealthy worker means.
+            let answer = StartAnswer::Unhealthy;
+            self.with(|s| s.apply_start_answer(view::now().mono, &start.worker, &start.task, start.run, answer));
+            return self.request_plan();
+        }
         let token = self.with(|s| s.token());
         let worker = match &order {
             Order::Start(start) => &start.worker,
             Order::Stop { worker, .. } | Order::Pace { worker, .. } => worker,
             Order::RequestAdvice { step, workers } => return self.request_advice(step, workers).await,
+            Order::LookUpJob { job } => return self.look_up_job(job).await,
         };
         let Some(address) = self.with(|s| s.worker(worker).map(|w| w.report.address)) else { return };
         let began = Instant::now();
         match order {
-            Order::RequestAdvice { .. } => {}
+            Order::RequestAdvice { .. } | Order::LookUpJob { .. } => {}
             Order::Start(start) => {
                 let (answer, error) = self.workers.start(address, &start, token, ORDER_TIMEOUT).await;
                 self.view.metrics.record_order("start", answer.label(), began.elapsed());
@@ -303,6 +331,25 @@
         self.request_plan();
     }
 
+    /// Reads the record of a job that this scheduler does not know although workers list runs or ends of it.
+    async fn look_up_job(self: &Arc<Self>, job: &JobKey) {
+        match self.view.store.get(&records::job_key(job), LOOKUP_TIMEOUT).await {
+            Ok(Some(Item { value: Some(value), created, .. })) => match records::decode::<JobRecord>(&value) {
+                Ok(record) => {
+                    log::info!(job:% = job, created = created.0; "job of a listed run found in the store");
+                    self.add_job(job, record, created.0);
+                }
+                Err(e) => log::error!(job:% = job, error:% = e; "the record of a job can't be read"),
+            },
+            Ok(_) => {
+                log::warn!(job:% = job; "the store has no job for a listed run; the run is stopped");
+                self.with(|s| s.reject_orphans(job));
+                self.request_plan();
+            }
+            Err(e) => log::info!(job:% = job, error:% = e; "the job of a listed run can't be read yet"),
+        }
+    }
+
     fn log_order(
         &self,
         order: &str,
@@ -338,6 +385,10 @@
         Event::RunEnded { task, run, worker, kind } => {
             log::info!(task:% = task, run = run, worker:% = worker, how:? = kind; "run ended");
         }
+        Event::EvacuationBegun { data_centre } => {
+            log::warn!(data_centre:% = data_centre; "evacuation begun; its workers get no new tasks");
+        }
+        Event::EvacuationEnded { data_centre } => log::warn!(data_centre:% = data_centre; "evacuation ended"),
         Event::JobEnded { job, state } => log::info!(job:% = job, state:? = state; "job ended"),
         Event::RunAdopted { task, run, worker } => {
             log::info!(task:% = task, run = run, worker:% = worker; "run of an earlier term adopted");
--- a/crates/carawaybarrow/src/node/vm_orders.rs
+++ b/crates/carawaybarrow/src/node/vm_orders.rs
@@ -8,7 +8,7 @@
 use carawaybarrow_core::sched::balance::BalanceState;
 use carawaybarrow_core::sched::candidacy::Strength;
 use carawaybarrow_core::sched::maintenance::{Vm, VmAnswer, Wave, WaveProgress};
-use carawaybarrow_core::units::Millis;
+use carawaybarrow_core::units::{Millis, MonoTime};
 use carawaybarrow_platform::configuration::WAVE_REQUEST_PREFIX;
 use carawaybarrow_platform::store::{Change, ChangeOutcome, StoreError, StoreRevision};
 use carawaybarrow_platform::vms::{
@@ -28,8 +28,13 @@
 /// Time between reads of the requested waves.
 const WAVE_INTERVAL: Millis = Millis(1_000);
 
-/// Minimum time between lists of the VMs: a peak lasts seconds, and a VM takes 1.5 s to join another pool.
-const VM_LIST_INTERVAL: Millis = Millis(150);
+/// Time between decisions about VMs: a peak lasts seconds, and a VM takes 1.5 s to join another pool. Lists of the VMs
+/// are at least as far apart.
+const DECISION_INTERVAL: Millis = Millis(150);
+
+/// Minimum time between lists per 1,000 VMs, so that lists of a large fleet take no more CPU than those of a small one.
+/// In between, decisions use the last list and the orders since.
+const LIST_INTERVAL_PER_1000: Millis = Millis(400);
 
 /// Size of a VM in the list, in bytes; the platform's published example has 165 with short names.
 const VM_BYTES: u64 = 200;
@@ -47,27 +52,31 @@
     let mut waves: Vec<Wave> = Vec::new();
     let mut balance = BalanceState::default();
     let mut waves_read_at = None;
+    let mut listed: Vec<Vm> = Vec::new();
+    let mut next_list = MonoTime(0);
     while !term.is_ended() {
         let now = view::now().mono;
         if waves_read_at.is_none_or(|at| now.since(at) >= WAVE_INTERVAL) {
             waves_read_at = Some(now);
             read_new_waves(&term, &mut waves, &complete_waves).await;
         }
-        let listed = match vms.list(VM_API_TIMEOUT).await {
-            Ok(listed) => listed,
-            Err(e) => {
-                log::info!(error:% = e; "the list of VMs can't be read");
-                task::sleep(VM_LIST_INTERVAL.to_duration()).await;
-                continue;
+        if now >= next_list {
+            match vms.list(VM_API_TIMEOUT).await {
+                Ok(new) => listed = new,
+                Err(e) => {
+                    log::info!(error:% = e; "the list of VMs can't be read");
+                    task::sleep(DECISION_INTERVAL.to_duration()).await;
+                    continue;
+                }
             }
-        };
-        let pause = list_pause(&term.view.settings.strength, listed.len());
-        term.with(|s| s.apply_vm_list(now, view::now().mono, &listed));
+            next_list = view::now().mono + list_interval(&term.view.settings.strength, listed.len());
+            term.with(|s| s.apply_vm_list(now, view::now().mono, &listed));
+        }
         // An earlier scheduler may have given orders until just before this term.
         let may_order =
             term.may_order_vms_at_once || view::now().mono.since(began) >= term.view.settings.bounds.order_lease;
         if !may_order {
-            task::sleep(pause).await;
+            task::sleep(DECISION_INTERVAL.to_duration()).await;
             continue;
         }
         for wave in &mut waves {
@@ -82,14 +91,15 @@
         if !move_vms(&term, &vms, &holder, &mut balance, &listed).await {
             return;
         }
-        task::sleep(pause).await;
+        task::sleep(DECISION_INTERVAL.to_duration()).await;
     }
 }
 
-/// Pause between lists of `count` VMs, so that lists leave bandwidth to orders and answers.
-fn list_pause(strength: &Strength, count: usize) -> Duration {
+/// Time between lists of `count` VMs, so that lists leave bandwidth and CPU to orders and answers.
+fn list_interval(strength: &Strength, count: usize) -> Millis {
     let transfer = strength.transfer_time(count as u64 * VM_BYTES);
-    VM_LIST_INTERVAL.max(Millis(transfer.0 * 100 / LIST_PERCENT)).to_duration()
+    let for_cpu = LIST_INTERVAL_PER_1000.0 * count as u64 / 1_000;
+    DECISION_INTERVAL.max(Millis(transfer.0 * 100 / LIST_PERCENT)).max(Millis(for_cpu))
 }
 
 /// Orders the moves that the demand of the pools requires. Returns whether the term may give more orders.
@@ -196,11 +206,10 @@
     let before = wave.progress();
     let ready = term.with(|s| s.advance_wave(view::now().mono, wave, listed));
     term.request_plan();
-    for vm in ready {
-        if term.is_ended() {
-            return false;
-        }
-        let (answer, error) = vms.order_maintenance(holder, &vm, wave.request.number, VM_API_TIMEOUT).await;
+    let number = wave.request.number;
+    let answers = ready.iter().map(|vm| vms.order_maintenance(holder, vm, number, VM_API_TIMEOUT));
+    let answers = futures::future::join_all(answers).await;
+    for (vm, (answer, error)) in ready.into_iter().zip(answers) {
         let error = error.map(|e| e.to_string()).unwrap_or_default();
         log::info!(vm:% = vm, wave = wave.request.number, token = holder.token, answer:? = answer, error:% = error; "maintenance ordered");
         term.with(|s| s.apply_maintenance_answer(view::now().mono, wave, &vm, answer));
--- a/crates/core/src/sched/answers.rs
+++ b/crates/core/src/sched/answers.rs
@@ -26,6 +26,7 @@
             self.apply_end(now.mono, key, end);
         }
         let mut listed = Set::default();
+        self.drop_orphaned_runs(key);
         let mut has_orphans = false;
         for row in lists.running {
             listed.insert((row.task.clone(), row.run));
@@ -59,6 +60,7 @@
     pub fn drop_ended_worker(&mut self, now: MonoTime, key: &WorkerKey) {
         self.events.push(Event::WorkerRestarted { worker: key.clone() });
         self.drop_runs(now, key, |_| true);
+        self.drop_orphaned_runs(key);
         self.unreconciled.remove(key);
         self.check_reconciled(now);
         if let Some(worker) = self.workers.get_mut(key) {
--- a/crates/core/src/sched/balance.rs
+++ b/crates/core/src/sched/balance.rs
@@ -182,6 +182,9 @@
 
     /// Whether a VM gives capacity to its pool, or will once its move ends.
     fn is_usable(&self, vm: &Vm) -> bool {
+        if self.evacuated.contains(&vm.data_centre) {
+            return false;
+        }
         let worker = vm.worker.as_ref().and_then(|w| self.workers.get(w));
         match vm.state {
             VmState::Up => worker.is_none_or(|w| !w.is_cordoned && !w.report.draining),
@@ -288,7 +291,11 @@
             .iter()
             .map(|(pool, have)| (pool.clone(), have.saturating_sub(needs.get(pool).map_or(0, |n| n.release_floor))))
             .collect();
-        let is_free = |vm: &&Vm| vm.state == VmState::Up && !balance.moving.contains_key(&vm.key);
+        let is_free = |vm: &&Vm| {
+            vm.state == VmState::Up
+                && !balance.moving.contains_key(&vm.key)
+                && !self.evacuated.contains(&vm.data_centre)
+        };
         let mut vms: Vec<&Vm> = listed.iter().filter(is_free).collect();
         vms.sort_by_key(|vm| (Some(&vm.pool) != standby, vm.key.clone()));
         let mut donors = Vec::new();
--- a/crates/core/src/sched/checks.rs
+++ b/crates/core/src/sched/checks.rs
@@ -31,10 +31,12 @@
         }
         self.check_reconciled(now.mono);
         self.review_runs(now.mono);
+        self.repeat_lookups(now.mono);
         self.stop_stalled(now.mono);
         self.stop_lasting_on_draining(now.mono);
+        self.empty_evacuated(now.mono);
         self.set_paces();
-        let is_needed = |w: &crate::sched::worker::Worker| w.is_listed || !w.runs.is_empty();
+        let is_needed = |w: &crate::sched::worker::Worker| w.is_listed || !w.runs.is_empty() || w.has_orphans;
         if self.is_reconciled() {
             self.workers.retain(|_, w| is_needed(w));
         }
--- a/crates/core/src/sched/event.rs
+++ b/crates/core/src/sched/event.rs
@@ -1,5 +1,7 @@
 //! Events that the scheduler reports for the log.
 
+use smol_str::SmolStr;
+
 use crate::sched::graph::{JobKey, TaskName, WorkerKey};
 use crate::sched::order::EndKind;
 use crate::sched::progress::JobState;
@@ -7,6 +9,16 @@
 /// A change in the scheduler's state, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
+    /// An operator evacuates a data centre.
+    EvacuationBegun {
+        /// Data centre.
+        data_centre: SmolStr,
+    },
+    /// A data centre is no longer evacuated.
+    EvacuationEnded {
+        /// Data centre.
+        data_centre: SmolStr,
+    },
     /// A run ended.
     RunEnded {
         /// Task.
--- a/crates/core/src/sched/job.rs
+++ b/crates/core/src/sched/job.rs
@@ -183,6 +183,14 @@
         }
     }
 
+    /// Adds the occurrences up to one that another scheduler, whose clock may be ahead, has found due.
+    pub fn add_found_due(&mut self, occurrence: u32, now: MonoTime) {
+        let wanted = occurrence.saturating_add(1).min(self.spec.times());
+        for number in u32::try_from(self.occurrences.len()).unwrap_or(u32::MAX)..wanted {
+            self.push_occurrence(number, now);
+        }
+    }
+
     fn push_occurrence(&mut self, number: u32, due: MonoTime) {
         let new_step = |count: u32| StepState { tasks: vec![Task::default(); count as usize], done: 0 };
         let mut steps: Vec<_> = self.spec.steps.iter().map(|s| new_step(s.count)).collect();
@@ -226,6 +234,12 @@
         self.spec.steps.get(step as usize).map(crate::sched::graph::Step::reserved).unwrap_or_default()
     }
 
+    /// Whether the tasks of a step serve users, and whether they are best-effort.
+    #[must_use]
+    pub fn kinds(&self, step: u32) -> (bool, bool) {
+        self.spec.steps.get(step as usize).map_or((false, false), |s| (s.target.is_some(), s.fills))
+    }
+
     /// Whether all tasks of all occurrences are done.
     #[must_use]
     pub fn is_complete(&self) -> bool {
--- a/crates/core/src/sched/maintenance.rs
+++ b/crates/core/src/sched/maintenance.rs
@@ -213,7 +213,7 @@
             let up = waiting.filter(|(key, _)| by_key.get(key).is_some_and(|vm| vm.state == VmState::Up));
             let next = up.min_by_key(|(key, _)| {
                 let worker = by_key.get(key).and_then(|vm| vm.worker.as_ref()).and_then(|w| self.workers.get(w));
-                let serving = worker.map_or(0, |w| self.count_serving_and_best_effort(&w.report.key).0);
+                let serving = worker.map_or(0, |w| w.serving);
                 (serving, worker.map_or(0, |w| w.used.cpu), key.as_str().to_owned())
             });
             let Some(key) = next.map(|(key, _)| key.clone()) else { break };
@@ -277,7 +277,7 @@
             !t.runs.iter().any(|r| {
                 r.phase == crate::sched::job::Phase::Running
                     && r.percent >= 100
-                    && self.workers.get(&r.worker).is_some_and(|w| w.is_reachable(now))
+                    && self.workers.get(&r.worker).is_some_and(|w| w.is_current(now))
             })
         };
         let others =
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -8,6 +8,7 @@
 pub mod candidacy;
 pub mod checks;
 pub mod directory;
+pub mod evacuation;
 pub mod event;
 pub mod graph;
 pub mod job;
@@ -20,6 +21,7 @@
 pub mod writes;
 
 mod answers;
+mod orphans;
 mod plan;
 mod recovery;
 mod runs;
--- a/crates/core/src/sched/order.rs
+++ b/crates/core/src/sched/order.rs
@@ -3,7 +3,7 @@
 use smol_str::SmolStr;
 
 use crate::sched::advice::StepName;
-use crate::sched::graph::{PoolName, Resources, TaskName, VmKey, WorkerKey};
+use crate::sched::graph::{JobKey, PoolName, Resources, TaskName, VmKey, WorkerKey};
 
 /// Fencing token, which rises with each term; workers refuse orders with a lower token than they have seen.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -28,7 +28,7 @@
     pub ticket: Option<SmolStr>,
 }
 
-/// An order to a worker, or a request to the advice service, that the process has to send.
+/// An order to a worker, or a request to the advice service or the store, that the process has to send.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Order {
     /// Start a run.
@@ -51,6 +51,11 @@
         /// Workers with enough free resources for a task of it.
         workers: Vec<WorkerKey>,
     },
+    /// Read the record of a job from the store, because a worker lists runs or ends of it and the job is unknown.
+    LookUpJob {
+        /// Job.
+        job: JobKey,
+    },
     /// Change the speed of a run.
     Pace {
         /// Worker.
--- /dev/null
+++ b/crates/core/src/sched/orphans.rs
@@ -0,0 +1,120 @@
+//! Orphaned runs and ends: those of jobs that the scheduler does not know.
+//!
+//! After a takeover the previous scheduler may still start tasks of a job that its successor learns of only later. Such
+//! runs and ends are kept until the store has told whether the job exists. If it does, they become runs and ends of the
+//! job; only otherwise are the runs stopped and the ends discarded.
+
+use crate::map::Map;
+use crate::sched::graph::{JobKey, WorkerKey};
+use crate::sched::order::{EndRow, Order, RunRow};
+use crate::sched::scheduler::Scheduler;
+use crate::sched::worker::NEVER_STORED;
+use crate::units::{Millis, MonoTime};
+
+/// Time after which the store is asked again for a job when it has not answered.
+const LOOKUP_RETRY: Millis = Millis(500);
+
+/// Runs and ends of one unknown job.
+#[derive(Debug, Default)]
+struct Orphan {
+    runs: Vec<(WorkerKey, RunRow)>,
+    ends: Vec<(WorkerKey, EndRow)>,
+    /// Time of the last request to look the job up.
+    asked: Option<MonoTime>,
+}
+
+/// Runs and ends of unknown jobs.
+#[derive(Debug, Default)]
+pub(super) struct Orphans {
+    by_job: Map<JobKey, Orphan>,
+}
+
+impl Orphans {
+    /// Removes the orphaned runs of a worker, which has ended or has sent a new list. Its ends remain facts.
+    pub(super) fn drop_runs_of(&mut self, worker: &WorkerKey) {
+        self.by_job.retain(|_, orphan| {
+            orphan.runs.retain(|(at, _)| at != worker);
+            !orphan.runs.is_empty() || !orphan.ends.is_empty()
+        });
+    }
+}
+
+impl Scheduler {
+    /// Keeps a run of an unknown job. A run of a job that is known to have ended is stopped.
+    pub(super) fn keep_orphaned_run(&mut self, now: MonoTime, worker: &WorkerKey, row: RunRow) {
+        if self.ended.contains_key(&row.task.job) {
+            self.stop_orphaned_run(worker.clone(), row, "job ended");
+            return;
+        }
+        let job = row.task.job.clone();
+        self.orphans.by_job.entry(job.clone()).or_default().runs.push((worker.clone(), row));
+        self.look_up_job(now, &job);
+    }
+
+    /// Keeps an end of an unknown job, which the worker may not discard. Ends of jobs that have ended are of no use.
+    pub(super) fn keep_orphaned_end(&mut self, now: MonoTime, worker: &WorkerKey, end: EndRow) {
+        let is_needed = !self.ended.contains_key(&end.task.job);
+        let job = end.task.job.clone();
+        if let Some(known) = self.workers.get_mut(worker) {
+            known.record_end(end.number, is_needed.then(|| (job.clone(), NEVER_STORED)));
+        }
+        if is_needed {
+            self.orphans.by_job.entry(job.clone()).or_default().ends.push((worker.clone(), end));
+            self.look_up_job(now, &job);
+        }
+    }
+
+    /// Drops the orphaned runs of a worker that has ended, whose leases have lapsed, or that has sent a new list.
+    pub(super) fn drop_orphaned_runs(&mut self, worker: &WorkerKey) {
+        let Some(known) = self.workers.get_mut(worker).filter(|w| w.has_orphans) else { return };
+        known.has_orphans = false;
+        self.orphans.drop_runs_of(worker);
+    }
+
+    /// Repeats requests to look up jobs that the store has not answered.
+    pub(super) fn repeat_lookups(&mut self, now: MonoTime) {
+        let jobs: Vec<JobKey> = self.orphans.by_job.keys().cloned().collect();
+        for job in jobs {
+            self.look_up_job(now, &job);
+        }
+    }
+
+    fn look_up_job(&mut self, now: MonoTime, job: &JobKey) {
+        let Some(orphan) = self.orphans.by_job.get_mut(job) else { return };
+        if orphan.asked.is_none_or(|at| now.since(at) >= LOOKUP_RETRY) {
+            orphan.asked = Some(now);
+            self.orders.push(Order::LookUpJob { job: job.clone() });
+        }
+    }
+
+    /// Applies the ends and runs that workers listed before the scheduler knew the job.
+    pub(super) fn adopt_orphans(&mut self, now: MonoTime, job: &JobKey) {
+        let Some(orphan) = self.orphans.by_job.remove(job) else { return };
+        for (worker, end) in orphan.ends {
+            let needs = self.end_run(now, &worker, &end.task, end.run, end.kind, &end.checkpoint);
+            if let Some(known) = self.workers.get_mut(&worker) {
+                known.settle_end(job, end.number, needs);
+            }
+        }
+        for (worker, row) in orphan.runs {
+            self.apply_run_row(now, &worker, row);
+        }
+    }
+
+    /// Stops the runs of a job that the store does not hold or shows as ended, and lets workers discard its ends.
+    pub fn reject_orphans(&mut self, job: &JobKey) {
+        let Some(orphan) = self.orphans.by_job.remove(job) else { return };
+        for (worker, end) in orphan.ends {
+            if let Some(known) = self.workers.get_mut(&worker) {
+                known.settle_end(job, end.number, None);
+            }
+        }
+        for (worker, row) in orphan.runs {
+            self.stop_orphaned_run(worker, row, "no such job");
+        }
+    }
+
+    fn stop_orphaned_run(&mut self, worker: WorkerKey, row: RunRow, reason: &'static str) {
+        self.orders.push(Order::Stop { worker, task: row.task, run: row.run, reason });
+    }
+}
--- a/crates/core/src/sched/plan.rs
+++ b/crates/core/src/sched/plan.rs
@@ -25,9 +25,9 @@
 
 /// A worker that accepts tasks, with its free resources after the placements so far.
 #[derive(Clone, Debug)]
-struct Slot {
+pub(super) struct Slot {
     worker: WorkerKey,
-    free: Resources,
+    pub(super) free: Resources,
     failures: u32,
     serving: u32,
     best_effort: u32,
@@ -51,11 +51,22 @@
         for (pool, mut candidates) in by_pool {
             candidates.sort();
             let mut slots = self.collect_slots(now.mono, &pool);
+            let mut room = most_free(&slots);
             for (_, key, occurrence, step) in candidates {
                 if slots.is_empty() {
                     break;
                 }
+                let Some(spec) = self.jobs.get(&key).and_then(|j| j.spec.steps.get(step)) else { continue };
+                // A backlog has many steps that fit nowhere. A lasting one reserves a worker even so.
+                if !spec.lasting && !spec.reserved().fits(&room) {
+                    continue;
+                }
+                let orders = self.orders.len();
+                let workers = slots.len();
                 self.place_step(now.mono, &mut slots, &key, occurrence, step);
+                if self.orders.len() != orders || slots.len() != workers {
+                    room = most_free(&slots);
+                }
             }
         }
     }
@@ -82,31 +93,22 @@
         }
     }
 
-    fn collect_slots(&self, now: MonoTime, pool: &PoolName) -> Vec<Slot> {
+    /// Workers of a pool that accept tasks.
+    pub(super) fn collect_slots(&self, now: MonoTime, pool: &PoolName) -> Vec<Slot> {
         let workers = self.workers.values().filter(|w| w.report.pool == *pool && w.accepts_tasks(now));
         let mut slots: Vec<Slot> = workers
-            .map(|w| {
-                let (serving, best_effort) = self.count_serving_and_best_effort(&w.report.key);
-                Slot { worker: w.report.key.clone(), free: w.free(), failures: w.failures(), serving, best_effort }
+            .map(|w| Slot {
+                worker: w.report.key.clone(),
+                free: w.free(),
+                failures: w.failures(),
+                serving: w.serving,
+                best_effort: w.best_effort,
             })
             .collect();
         slots.sort_by(|a, b| a.worker.cmp(&b.worker));
         slots
     }
 
-    /// Numbers of serving tasks and of best-effort tasks on a worker.
-    pub(super) fn count_serving_and_best_effort(&self, worker: &WorkerKey) -> (u32, u32) {
-        let Some(worker) = self.workers.get(worker) else { return (0, 0) };
-        let (mut serving, mut best_effort) = (0, 0);
-        for name in worker.runs.keys() {
-            if let Some(step) = self.step_of(name) {
-                serving += u32::from(step.target.is_some());
-                best_effort += u32::from(step.fills);
-            }
-        }
-        (serving, best_effort)
-    }
-
     pub(super) fn step_of(&self, name: &TaskName) -> Option<&Step> {
         self.jobs.get(&name.job)?.spec.steps.get(name.step as usize)
     }
@@ -235,7 +237,7 @@
     }
 
     /// Number of runs of a step on each worker.
-    fn count_runs_by_worker(&self, key: &JobKey, occurrence: usize, step: usize) -> Map<WorkerKey, u32> {
+    pub(super) fn count_runs_by_worker(&self, key: &JobKey, occurrence: usize, step: usize) -> Map<WorkerKey, u32> {
         let mut counts = Map::default();
         let Some(state) =
             self.jobs.get(key).and_then(|j| j.occurrences.get(occurrence)).and_then(|o| o.steps.get(step))
@@ -248,7 +250,14 @@
         counts
     }
 
-    fn choose_slot(&self, slots: &[Slot], spec: &Step, name: &TaskName, counts: &Map<WorkerKey, u32>) -> Option<usize> {
+    /// Index of the slot on which a task runs best; `None` if it fits on no slot.
+    pub(super) fn choose_slot(
+        &self,
+        slots: &[Slot],
+        spec: &Step,
+        name: &TaskName,
+        counts: &Map<WorkerKey, u32>,
+    ) -> Option<usize> {
         let avoid = self
             .jobs
             .get(&name.job)
@@ -357,6 +366,15 @@
     }
 }
 
+/// The most of each resource that is free on any one slot. What does not fit into it fits on no slot.
+fn most_free(slots: &[Slot]) -> Resources {
+    slots.iter().fold(Resources::default(), |most, slot| Resources {
+        cpu: most.cpu.max(slot.free.cpu),
+        memory_mb: most.memory_mb.max(slot.free.memory_mb),
+        accelerators: most.accelerators.max(slot.free.accelerators),
+    })
+}
+
 /// Removes the worker with the most free CPU that the step can use from a list.
 fn reserve_slot(slots: &mut Vec<Slot>, spec: &Step) {
     let emptiest = slots.iter().enumerate().max_by_key(|(_, s)| s.free.cpu.min(spec.size.cpu)).map(|(at, _)| at);
--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -38,6 +38,7 @@
         }
         for (key, worker) in &mut self.workers {
             worker.is_listed &= seen.contains(key);
+            worker.is_evacuated = self.evacuated.contains(&worker.report.data_centre);
         }
         self.drop_replaced(now);
     }
--- a/crates/core/src/sched/runs.rs
+++ b/crates/core/src/sched/runs.rs
@@ -21,6 +21,9 @@
         if !known.is_new_end(end.number) {
             return;
         }
+        if !self.jobs.contains_key(&end.task.job) {
+            return self.keep_orphaned_end(now, worker, end);
+        }
         let needs = self.end_run(now, worker, &end.task, end.run, end.kind, &end.checkpoint);
         if let Some(known) = self.workers.get_mut(worker) {
             known.record_end(end.number, needs);
@@ -29,7 +32,7 @@
 
     /// Applies the end of a run. Returns the job and its version that must be stored before the worker may discard the
     /// end; `None` if the end changes nothing that is stored.
-    fn end_run(
+    pub(super) fn end_run(
         &mut self,
         now: MonoTime,
         worker: &WorkerKey,
@@ -40,6 +43,7 @@
     ) -> Option<(JobKey, u64)> {
         let removed = self.remove_run(name, number);
         let job = self.jobs.get_mut(&name.job)?;
+        job.add_found_due(name.occurrence, now);
         let step = job.spec.steps.get(name.step as usize)?;
         let (is_lasting, is_gang) = (step.lasting, step.gang);
         self.events.push(Event::RunEnded { task: name.clone(), run: number, worker: worker.clone(), kind });
@@ -120,16 +124,18 @@
         }
     }
 
-    /// Applies a run that a worker lists. Returns `false` if it is an orphaned run, which it orders to stop.
+    /// Applies a run that a worker lists. Returns `false` if its job is unknown, or has no such task.
     pub(super) fn apply_run_row(&mut self, now: MonoTime, worker: &WorkerKey, row: RunRow) -> bool {
+        if let Some(job) = self.jobs.get_mut(&row.task.job) {
+            job.add_found_due(row.task.occurrence, now);
+        }
         let Some(task) = self.jobs.get_mut(&row.task.job).and_then(|j| j.task_mut(&row.task)) else {
-            // No known job has this task: the run is left over from a job that has ended.
-            self.orders.push(Order::Stop {
-                worker: worker.clone(),
-                task: row.task,
-                run: row.run,
-                reason: "no such job",
-            });
+            if self.jobs.contains_key(&row.task.job) {
+                let reason = "no such task";
+                self.orders.push(Order::Stop { worker: worker.clone(), task: row.task, run: row.run, reason });
+            } else {
+                self.keep_orphaned_run(now, worker, row);
+            }
             return false;
         };
         let is_new = !task.runs.iter().any(|r| r.number == row.run);
@@ -256,13 +262,14 @@
         let keys: Vec<WorkerKey> = self.workers.keys().cloned().collect();
         for key in keys {
             let Some(worker) = self.workers.get(&key) else { continue };
-            if worker.runs.is_empty() {
+            if worker.runs.is_empty() && !worker.has_orphans {
                 continue;
             }
             if !worker.is_reachable(now) {
                 if worker.has_lapsed(now) && (worker.refuses_earlier_terms || self.is_reconciled()) {
                     let runs = worker.runs.len();
                     self.drop_runs(now, &key, |_| true);
+                    self.drop_orphaned_runs(&key);
                     self.events.push(Event::WorkerLapsed { worker: key, runs });
                 }
                 continue;
@@ -273,6 +280,7 @@
 
     fn repeat_orders(&mut self, now: MonoTime, worker: &WorkerKey) {
         let Some(known) = self.workers.get(worker) else { return };
+        let must_get_no_starts = known.must_get_no_starts();
         let names: Vec<(TaskName, u32)> = known.runs.iter().map(|(name, run)| (name.clone(), *run)).collect();
         for (name, number) in names {
             let run = self.run(&name, number);
@@ -281,6 +289,9 @@
                 continue;
             }
             match run.phase {
+                Phase::Starting if must_get_no_starts => {
+                    self.order_stop(now, &name, number, "start not confirmed before the worker is emptied");
+                }
                 Phase::Starting if now.since(run.last_ordered) >= START_RETRY => self.order_start(now, &name, number),
                 Phase::Stopping if now.since(run.last_ordered) >= STOP_RETRY + self.bounds.stop_limit => {
                     self.order_stop(now, &name, number, "no end after a stop");
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -10,6 +10,7 @@
 use crate::sched::graph::{JobKey, JobSpec, PoolName, QueueName, Resources, TaskName, TeamName, WorkerKey};
 use crate::sched::job::{Job, Run, Task};
 use crate::sched::order::{FencingToken, Order};
+use crate::sched::orphans::Orphans;
 use crate::sched::policy::{Bounds, Policy, QueuePolicy};
 use crate::sched::progress::{JobState, Progress};
 use crate::sched::share::TokenBucket;
@@ -85,6 +86,9 @@
     pub(super) last_mono: MonoTime,
     pub(super) last_wall: WallTime,
     pub(super) advice: Map<StepName, StepAdvice>,
+    pub(super) orphans: Orphans,
+    /// Data centres that operators evacuate.
+    pub(super) evacuated: Set<SmolStr>,
 }
 
 impl Scheduler {
@@ -112,6 +116,8 @@
             last_mono: MonoTime(0),
             last_wall: WallTime(0),
             advice: Map::default(),
+            orphans: Orphans::default(),
+            evacuated: Set::default(),
         }
     }
 
@@ -149,6 +155,7 @@
         job.objective = objective(&self.policy, &job.spec);
         job.add_due(now.mono, now.wall);
         self.jobs.insert(key.clone(), job);
+        self.adopt_orphans(now.mono, &key);
         self.finish_if_complete(&key);
     }
 
@@ -166,6 +173,7 @@
 
     /// Adds a job that has ended, whose state is kept for callers.
     pub fn add_ended(&mut self, key: JobKey, state: JobState, at: WallTime) {
+        self.reject_orphans(&key);
         self.ended.insert(key, EndedJob { state, at });
     }
 
@@ -315,10 +323,13 @@
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
         let size = job.reserved(name.step);
         let team = job.spec.team.clone();
+        let (serving, best_effort) = job.kinds(name.step);
         let Some(task) = job.task_mut(name) else { return };
         task.last_run = task.last_run.max(run.number);
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.used += size;
+            worker.serving += u32::from(serving);
+            worker.best_effort += u32::from(best_effort);
             worker.runs.insert(name.clone(), run.number);
         }
         task.runs.push(run);
@@ -332,11 +343,14 @@
         let job = self.jobs.get_mut(&name.job)?;
         let size = job.reserved(name.step);
         let team = job.spec.team.clone();
+        let (serving, best_effort) = job.kinds(name.step);
         let task: &mut Task = job.task_mut(name)?;
         let at = task.runs.iter().position(|r| r.number == number)?;
         let run = task.runs.remove(at);
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.used -= size;
+            worker.serving = worker.serving.saturating_sub(u32::from(serving));
+            worker.best_effort = worker.best_effort.saturating_sub(u32::from(best_effort));
             if worker.runs.get(name) == Some(&number) {
                 worker.runs.remove(name);
             }
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -14,6 +14,9 @@
 /// its repetition.
 pub const SILENCE_LIMIT: Millis = Millis(1_200);
 
+/// Time from the end of a poll's wait to the next answer, on a busy scheduler.
+const ANSWER_DELAY: Millis = Millis(300);
+
 /// Slowest rate of a worker's clock relative to the scheduler's, in thousandths, as the platform specifies it.
 const SLOWEST_CLOCK: u64 = 980;
 
@@ -33,6 +36,9 @@
 /// Time without new tasks after a start that the worker refused.
 const REFUSAL_PAUSE: Millis = Millis(300);
 
+/// Version of a job that is never stored: a worker must keep an end while the scheduler does not know its job.
+pub const NEVER_STORED: u64 = u64::MAX;
+
 /// Reading of a worker's clock.
 #[derive(Clone, Copy, Debug)]
 struct ClockReading {
@@ -53,6 +59,8 @@
     pub known_since: MonoTime,
     /// Whether it gets no new tasks because its VM is to move or to have maintenance.
     pub is_cordoned: bool,
+    /// Whether its data centre is evacuated, so that it gets no new tasks.
+    pub is_evacuated: bool,
     /// Whether it has answered a poll of this term, so that it refuses orders of earlier terms.
     pub refuses_earlier_terms: bool,
     /// Whether the stored recovery set names it, so that the next scheduler knows that it may hold runs.
@@ -63,6 +71,10 @@
     pub used: Resources,
     /// Runs that are or may be there, by task.
     pub runs: Map<TaskName, u32>,
+    /// Number of its runs that serve users.
+    pub serving: u32,
+    /// Number of its best-effort runs.
+    pub best_effort: u32,
     /// Time of the last answer to a poll.
     pub last_answer: Option<MonoTime>,
     /// Time at which the last poll was sent. Not read at present.
@@ -90,11 +102,14 @@
             is_gone: false,
             known_since: now,
             is_cordoned: false,
+            is_evacuated: false,
             refuses_earlier_terms: false,
             is_in_recovery_set: false,
             has_orphans: false,
             used: Resources::default(),
             runs: Map::default(),
+            serving: 0,
+            best_effort: 0,
             last_answer: None,
             poll_sent: MonoTime(0),
             clock: None,
@@ -125,10 +140,17 @@
         self.report.labels.get(1)
     }
 
-    /// Whether it is listed, not cordoned and not shutting down, so that it can get tasks.
+    /// Whether it is listed, not cordoned, not shutting down and not in an evacuated data centre, so that it can get
+    /// tasks.
     #[must_use]
     pub const fn is_schedulable(&self) -> bool {
-        self.is_listed && !self.report.draining && !self.is_cordoned
+        self.is_listed && !self.is_cordoned && !self.must_get_no_starts()
+    }
+
+    /// Whether it is shutting down or its data centre is evacuated. An order to start a task must not be repeated then.
+    #[must_use]
+    pub const fn must_get_no_starts(&self) -> bool {
+        self.report.draining || self.is_evacuated
     }
 
     /// Whether new tasks may start on it now.
@@ -148,6 +170,12 @@
         self.last_answer.is_some_and(|at| now.since(at).0 < SILENCE_LIMIT.0 + MAX_WAIT.0)
     }
 
+    /// Whether its last answer is so recent that the state of its runs counts as current.
+    #[must_use]
+    pub fn is_current(&self, now: MonoTime) -> bool {
+        self.last_answer.is_some_and(|at| now.since(at).0 <= MAX_WAIT.0 + ANSWER_DELAY.0)
+    }
+
     /// Number of failures in a row.
     #[must_use]
     pub const fn failures(&self) -> u32 {
@@ -236,6 +264,18 @@
         }
     }
 
+    /// Records what must be stored before the worker may discard an end that was applied before its job was known.
+    /// A worker that has restarted since numbers its ends anew and keeps none of the old ones.
+    pub fn settle_end(&mut self, job: &JobKey, number: u64, needs: Option<(JobKey, u64)>) {
+        if self.unstored_ends.get(&number).is_none_or(|(of, version)| of != job || *version != NEVER_STORED) {
+            return;
+        }
+        match needs {
+            Some(needs) => self.unstored_ends.insert(number, needs),
+            None => self.unstored_ends.remove(&number),
+        };
+    }
+
     /// Removes the ends that are stored with a version of a job, so that the worker may discard them.
     pub fn drop_stored_ends(&mut self, job: &JobKey, version: u64) {
         self.unstored_ends.retain(|_, (key, needed)| key != job || *needed > version);
--- a/crates/core/tests/sched/capacity.rs
+++ b/crates/core/tests/sched/capacity.rs
@@ -174,7 +174,7 @@
         for order in model.scheduler.take_orders() {
             model.execute_order(order);
         }
-        let stopping = model.workers.values().flat_map(|w| w.runs.values()).filter(|r| r.stopping).count();
+        let stopping = model.workers.values().flat_map(|w| w.runs.values()).filter(|r| r.stopping_ms.is_some()).count();
         assert!(stopping <= 1, "{stopping} tasks are being stopped at the same time");
         model.run_for(50);
         assert!(model.count_running() >= 2);
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -2,7 +2,9 @@
 
 mod capacity;
 mod directory;
+mod evacuation;
 mod lifecycle;
 mod model;
+mod overlap;
 mod random;
 mod takeover;
--- a/crates/core/tests/sched/model.rs
+++ b/crates/core/tests/sched/model.rs
@@ -27,7 +27,8 @@
     pub remaining_ms: u64,
     pub work_ms: u64,
     pub size: Resources,
-    pub stopping: bool,
+    /// Time until it has stopped, once a stop was ordered.
+    pub stopping_ms: Option<u64>,
 }
 
 /// A worker that follows the published rules of the platform.
@@ -43,6 +44,8 @@
     pub is_partitioned: bool,
     pub incarnation: u64,
     pub fails_tasks: bool,
+    /// Time that a run takes to stop.
+    pub stop_ms: u64,
     /// Last end before a lapse of the lease. Ends up to it that the scheduler has not confirmed do not count as done.
     pub voided_end: u64,
 }
@@ -84,7 +87,7 @@
         self.highest_run.insert(start.task.clone(), start.run);
         self.runs.insert(
             start.task.clone(),
-            ModelRun { run: start.run, remaining_ms: work_ms, work_ms, size, stopping: false },
+            ModelRun { run: start.run, remaining_ms: work_ms, work_ms, size, stopping_ms: None },
         );
         StartAnswer::Started
     }
@@ -98,7 +101,7 @@
         if let Some(found) = self.runs.get_mut(task)
             && found.run == run
         {
-            found.stopping = true;
+            found.stopping_ms.get_or_insert(self.stop_ms);
         }
         true
     }
@@ -150,9 +153,10 @@
             if run.work_ms != u64::MAX {
                 run.remaining_ms = run.remaining_ms.saturating_sub(elapsed_ms);
             }
+            run.stopping_ms = run.stopping_ms.map(|left| left.saturating_sub(elapsed_ms));
             let kind = if clock > self.lease_until {
                 EndKind::Lapsed
-            } else if run.stopping {
+            } else if run.stopping_ms == Some(0) {
                 EndKind::Stopped
             } else if run.remaining_ms == 0 {
                 if self.fails_tasks { EndKind::Failed } else { EndKind::Done }
@@ -194,10 +198,16 @@
     pub policy: Arc<Policy>,
     pub done: BTreeMap<TaskName, u32>,
     pub failed: BTreeMap<TaskName, u32>,
+    /// Number of runs that were stopped.
+    pub stopped: u32,
     /// Run time of each task that starts from now on.
     pub work_ms: u64,
     /// Answer to each request for advice.
     pub advice: Option<(Vec<(WorkerKey, smol_str::SmolStr)>, Millis)>,
+    /// Scheduler of the previous term that has not noticed its end yet.
+    pub previous: Option<Scheduler>,
+    /// Whether a worker has refused the token of the scheduler that acts.
+    is_fenced: bool,
 }
 
 pub fn policy() -> Policy {
@@ -262,6 +272,7 @@
                 is_partitioned: false,
                 incarnation: 1,
                 fails_tasks: false,
+                stop_ms: 0,
                 voided_end: 0,
             };
             (report.key, worker)
@@ -276,8 +287,11 @@
             policy,
             done: BTreeMap::new(),
             failed: BTreeMap::new(),
+            stopped: 0,
             work_ms: 400,
             advice: None,
+            previous: None,
+            is_fenced: false,
         };
         model.scheduler.apply_recovery_set(MonoTime(START_MS), Vec::new());
         model.register_workers();
@@ -296,11 +310,56 @@
 
     /// Accepts a job, of which the scheduler is notified at once.
     pub fn accept(&mut self, key: &str, spec: JobSpec) {
+        self.accept_unannounced(key, spec);
+        self.announce(key);
+    }
+
+    /// Accepts a job, of which only a scheduler of the previous term is notified.
+    pub fn accept_unannounced(&mut self, key: &str, spec: JobSpec) {
         let key = JobKey::new(key);
         self.store.revision += 1;
         self.store.jobs.insert(key.clone(), (JobRecord::Accepted(spec.clone()), self.store.revision));
-        let is_inherited = self.store.revision < self.scheduler.token().0;
-        self.scheduler.add_job(self.time(), key, spec, Progress::default(), is_inherited);
+        let now = self.time();
+        if let Some(previous) = &mut self.previous {
+            previous.add_job(now, key, spec, Progress::default(), false);
+        }
+    }
+
+    /// Notifies the scheduler of a job in the store.
+    pub fn announce(&mut self, key: &str) {
+        self.look_up(&JobKey::new(key));
+    }
+
+    fn look_up(&mut self, key: &JobKey) {
+        let now = self.time();
+        match self.store.jobs.get(key).cloned() {
+            Some((JobRecord::Accepted(spec), created)) => {
+                let is_inherited = created < self.scheduler.token().0;
+                self.scheduler.add_job(now, key.clone(), spec, Progress::default(), is_inherited);
+            }
+            Some((JobRecord::Ended { state, at, .. }, _)) => self.scheduler.add_ended(key.clone(), state, at),
+            None => self.scheduler.reject_orphans(key),
+        }
+    }
+
+    /// Replaces the scheduler, while the previous one has not noticed that its term has ended.
+    pub fn replace_scheduler_unnoticed(&mut self) {
+        let successor = Scheduler::new(FencingToken(0), 0, Bounds::default(), Arc::clone(&self.policy));
+        self.previous = Some(std::mem::replace(&mut self.scheduler, successor));
+        self.replace_scheduler();
+    }
+
+    /// Lets the scheduler of the previous term poll one worker and execute its orders, until a worker refuses its token.
+    pub fn run_previous(&mut self, polled: &WorkerKey) {
+        let Some(previous) = self.previous.take() else { return };
+        let present = std::mem::replace(&mut self.scheduler, previous);
+        self.is_fenced = false;
+        self.run_scheduler();
+        self.poll(polled);
+        let previous = std::mem::replace(&mut self.scheduler, present);
+        if !self.is_fenced {
+            self.previous = Some(previous);
+        }
     }
 
     /// Replaces the scheduler by one of the next term, which reads the store.
@@ -336,8 +395,9 @@
             self.scheduler.record_lost_poll(key);
             return;
         }
-        if let Some(lists) = worker.poll(self.now, poll.lease_until, poll.durable_end, token) {
-            self.scheduler.apply_lists(now, key, MonoTime(self.now), lists);
+        match worker.poll(self.now, poll.lease_until, poll.durable_end, token) {
+            Some(lists) => self.scheduler.apply_lists(now, key, MonoTime(self.now), lists),
+            None => self.is_fenced = true,
         }
     }
 
@@ -376,13 +436,16 @@
                 } else {
                     worker.start(self.now, &start, token, size, self.work_ms)
                 };
-                self.scheduler.apply_start_answer(now, &start.worker, &start.task, start.run, answer);
+                let is_fenced = self.scheduler.apply_start_answer(now, &start.worker, &start.task, start.run, answer);
+                self.is_fenced |= is_fenced;
             }
             Order::Stop { worker, task, run, .. } => {
                 let worker = self.workers.get_mut(&worker).expect("the worker exists");
                 let is_accepted = !worker.is_partitioned && worker.stop(&task, run, token);
                 self.scheduler.apply_stop_answer(now, &task, run, is_accepted);
             }
+            Order::LookUpJob { job } if !self.store.is_down => self.look_up(&job),
+            Order::LookUpJob { .. } => {}
             Order::RequestAdvice { step, .. } => self.scheduler.apply_advice(now, &step, self.advice.clone()),
             Order::Pace { task, run, .. } => self.scheduler.apply_pace_answer(&task, run, true),
         }
@@ -427,6 +490,7 @@
             for end in worker.ends.iter().filter(|e| e.number > before) {
                 match end.kind {
                     EndKind::Done => *self.done.entry(end.task.clone()).or_default() += 1,
+                    EndKind::Stopped => self.stopped += 1,
                     EndKind::Failed => *self.failed.entry(end.task.clone()).or_default() += 1,
                     _ => {}
                 }
--- a/crates/core/tests/sched/takeover.rs
+++ b/crates/core/tests/sched/takeover.rs
@@ -115,12 +115,18 @@
     model
         .worker_mut(0)
         .runs
-        .insert(orphan, ModelRun { run: 1, remaining_ms: 60_000, work_ms: 60_000, size, stopping: false });
+        .insert(orphan, ModelRun { run: 1, remaining_ms: 60_000, work_ms: 60_000, size, stopping_ms: None });
     model.worker_mut(0).lease_until = u64::MAX;
     model.accept("j", job(vec![step(1, 1_000)]));
     model.poll_all();
     model.scheduler.plan(model.time());
     let orders = model.scheduler.take_orders();
+    assert!(matches!(orders.as_slice(), [Order::LookUpJob { .. }]), "{orders:?}");
+    for order in orders {
+        model.execute_order(order);
+    }
+    model.scheduler.plan(model.time());
+    let orders = model.scheduler.take_orders();
     assert!(matches!(orders.as_slice(), [Order::Stop { .. }]), "{orders:?}");
     for order in orders {
         model.execute_order(order);
