Believe the list of VMs at once about workers that refuse connections

Change: a refused connection is a second sign that doesn't depend on the list, so both together end the worker at once. A failed renewal of the lease stops moves immediately.

New test, both directions.

--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -237,7 +237,10 @@
             Ok(false) => return term.end("the scheduler's lease has ended"),
             // If the store is down, no other entry can take over either. If it still serves other entries, one of them
             // may take over, and workers then refuse the orders of this term.
-            Err(e) => log::info!(error:% = e; "the scheduler's lease is not renewed"),
+            Err(e) => {
+                term.record_failed_renewal();
+                log::info!(error:% = e; "the scheduler's lease is not renewed");
+            }
         }
         task::sleep(RENEW_INTERVAL).await;
     }
--- a/crates/carawaybarrow/src/node/term.rs
+++ b/crates/carawaybarrow/src/node/term.rs
@@ -101,7 +101,7 @@
     watch_start: AtomicU64,
     evacuations_start: AtomicU64,
     ended: AtomicBool,
-    /// Time at which the last confirmed renewal of the lease was sent, in ms.
+    /// Time at which the last renewal of the lease was sent, in ms; 0 if it failed.
     renewed_at: AtomicU64,
     write_notify: Notify,
     plan_notify: Notify,
@@ -178,7 +178,12 @@
 
     /// Records that the store confirmed a renewal of the lease that was sent at a time.
     pub fn record_renewal(&self, sent: MonoTime) {
-        self.renewed_at.fetch_max(sent.0, Ordering::SeqCst);
+        self.renewed_at.store(sent.0, Ordering::SeqCst);
+    }
+
+    /// Records that a renewal of the lease failed.
+    pub fn record_failed_renewal(&self) {
+        self.renewed_at.store(0, Ordering::SeqCst);
     }
 
     /// Whether the store has answered recently, so that the recovery set can be kept up to date.
--- a/crates/carawaybarrow/src/node/worker_polls.rs
+++ b/crates/carawaybarrow/src/node/worker_polls.rs
@@ -58,7 +58,7 @@
                 task::sleep(RETRY_PAUSE).await;
             }
             Err(e) => {
-                term.with(|s| s.record_lost_poll(&worker));
+                term.with(|s| s.record_lost_poll(&worker, e.is_refused()));
                 if !is_lost {
                     is_lost = true;
                     log::warn!(worker:% = worker, error:% = e; "worker lost");
--- a/crates/core/src/sched/answers.rs
+++ b/crates/core/src/sched/answers.rs
@@ -48,6 +48,7 @@
                 worker.assume_lease(now.mono, lease);
             }
             worker.last_answer = Some(now.mono);
+            worker.refuses_connections = false;
             worker.refuses_earlier_terms = true;
             worker.has_orphans = has_orphans;
         }
--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -68,8 +68,8 @@
         let by_key: Map<&VmKey, &Vm> = vms.iter().map(|vm| (&vm.key, vm)).collect();
         let is_gone = |worker: &&Worker| {
             let Some(key) = &worker.report.vm else { return false };
-            // The list lags and may not show a worker that has just started.
-            let is_old = worker.known_since + VM_LIST_LAG < requested;
+            // The list lags and may not show a worker that has just started. One that has started listens at its address.
+            let is_old = worker.known_since + VM_LIST_LAG < requested || worker.refuses_connections;
             let is_silent = !worker.is_listed || !worker.is_reachable(now);
             let has_ended = match by_key.get(key) {
                 Some(vm) => {
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -285,11 +285,12 @@
         Some(Poll { lease_until, durable_end: worker.durable_end(), wait })
     }
 
-    /// Records that a poll got no answer. The worker may have restarted under the same id, which restarts the numbers
-    /// of its ends.
-    pub fn record_lost_poll(&mut self, key: &WorkerKey) {
+    /// Records that a poll got no answer, and whether the connection was refused. The worker may have restarted under
+    /// the same id, which restarts the numbers of its ends.
+    pub fn record_lost_poll(&mut self, key: &WorkerKey, is_refused: bool) {
         if let Some(worker) = self.workers.get_mut(key) {
             worker.mark_incarnation_uncertain();
+            worker.refuses_connections = is_refused;
         }
     }
 
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -75,6 +75,8 @@
     pub serving: u32,
     /// Number of its best-effort runs.
     pub best_effort: u32,
+    /// Whether nothing listened at its address when it was polled last.
+    pub refuses_connections: bool,
     /// Time of the last answer to a poll.
     pub last_answer: Option<MonoTime>,
     /// Time at which the last poll was sent. Not read at present.
@@ -110,6 +112,7 @@
             runs: Map::default(),
             serving: 0,
             best_effort: 0,
+            refuses_connections: false,
             last_answer: None,
             poll_sent: MonoTime(0),
             clock: None,
--- a/crates/core/tests/sched/model.rs
+++ b/crates/core/tests/sched/model.rs
@@ -392,7 +392,7 @@
         let token = self.scheduler.token();
         let worker = self.workers.get_mut(key).expect("the worker exists");
         if worker.is_partitioned {
-            self.scheduler.record_lost_poll(key);
+            self.scheduler.record_lost_poll(key, false);
             return;
         }
         match worker.poll(self.now, poll.lease_until, poll.durable_end, token) {
--- a/crates/core/tests/sched/takeover.rs
+++ b/crates/core/tests/sched/takeover.rs
@@ -98,6 +98,32 @@
     assert!(model.scheduler.is_reconciled());
 }
 
+/// Guards against a pool that waits until the list of VMs is surely up to date for a worker that nobody listens for: two
+/// signs that don't depend on each other show that it has ended. Seen in the recorded run trouble-1 of the large
+/// deployment, where 141 workers held all pools back for 2 s.
+#[test]
+fn worker_that_refuses_connections_and_is_not_on_its_vm_has_ended() {
+    for (is_refused, is_gone) in [(true, true), (false, false)] {
+        let mut model = Model::new(2);
+        model.run_for(500);
+        model.replace_scheduler();
+        model.poll(&WorkerKey::new("w0"));
+        model.scheduler.record_lost_poll(&WorkerKey::new("w1"), is_refused);
+        let report = super::model::report(1);
+        let moved = Vm {
+            key: report.vm.expect("each worker of the model has a VM"),
+            pool: report.pool,
+            state: VmState::Moving,
+            data_centre: report.data_centre,
+            capacity: report.capacity,
+            worker: None,
+        };
+        let now = MonoTime(model.now);
+        model.scheduler.apply_vm_list(now, now, &[moved]);
+        assert_eq!(model.scheduler.is_reconciled(), is_gone, "refused: {is_refused}");
+    }
+}
+
 /// Guards against a task that runs twice because the previous scheduler starts it as well. It is notified of a job that
 /// is accepted just after the takeover too, and a worker that the new scheduler has not polled yet accepts its order.
 /// Seen in the recorded run trouble-3.
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -72,6 +72,12 @@
 }
 
 impl CallError {
+    /// Whether the server's machine answered that nothing listens at the address.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect { source, .. } if source.kind() == std::io::ErrorKind::ConnectionRefused)
+    }
+
     /// Whether the server may have received the request.
     #[must_use]
     pub const fn may_have_arrived(&self) -> bool {
