Hand a term over when only its scheduler has lost the store

Change: after two failed renewals the scheduler asks a strong entry that reaches the store to end its lease; that entry probes at once and takes over. Sixteen writers instead of four.

--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -31,6 +31,12 @@
 /// Time between renewals. The lease survives two renewals that fail quickly.
 const RENEW_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Pause after a failed renewal.
+const RENEW_RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Failed renewals in a row after which the scheduler asks another entry to take over.
+const FAILURES_BEFORE_RELIEF: u32 = 2;
+
 /// Time for an answer of the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -73,7 +79,7 @@
             let since = *vacant_since.get_or_insert(now);
             if view.takeover_delay().is_some_and(|delay| now.since(since) >= delay) {
                 match try_begin_term(&view, incarnation).await {
-                    Ok(Some(term)) => run_term(term),
+                    Ok(Some(term)) => run_term(term, Arc::clone(&scheduler)),
                     Ok(None) => {}
                     Err(e) => log::warn!(error:% = e; "can't begin a term"),
                 }
@@ -90,7 +96,7 @@
         {
             continue;
         }
-        task::sleep(view::PROBE_INTERVAL).await;
+        view.wait_for_probe().await;
     }
 }
 
@@ -111,10 +117,10 @@
     end_lease(term).await;
 }
 
-fn run_term(term: Arc<Term>) {
+fn run_term(term: Arc<Term>, scheduler: Arc<SchedulerClient>) {
     log::info!(term = term.owner.term, token = term.revision.0; "term begun");
     term.view.set_term(Some(Arc::clone(&term)));
-    task::spawn(renew(Arc::clone(&term)));
+    task::spawn(renew(Arc::clone(&term), scheduler));
     task::spawn(async move {
         if let Err(e) = load_jobs(&term).await {
             log::error!(error:% = e; "the jobs can't be read; the term ends");
@@ -229,17 +235,28 @@
     }
 }
 
-async fn renew(term: Arc<Term>) {
+async fn renew(term: Arc<Term>, scheduler: Arc<SchedulerClient>) {
+    let mut failures = 0;
     while !term.is_ended() {
         let sent = view::now().mono;
         match term.view.store.renew_lease(term.lease, STORE_TIMEOUT).await {
-            Ok(true) => term.record_renewal(sent),
+            Ok(true) => {
+                failures = 0;
+                term.record_renewal(sent);
+            }
             Ok(false) => return term.end("the scheduler's lease has ended"),
             // If the store is down, no other entry can take over either. If it still serves other entries, one of them
             // may take over, and workers then refuse the orders of this term.
             Err(e) => {
                 term.record_failed_renewal();
                 log::info!(error:% = e; "the scheduler's lease is not renewed");
+                failures += 1;
+                // Another entry that reaches the store can take over before the lease lapses.
+                if failures >= FAILURES_BEFORE_RELIEF && scheduler.request_relief(&term).await {
+                    return term.end("the store is lost and another entry takes over");
+                }
+                task::sleep(RENEW_RETRY_PAUSE).await;
+                continue;
             }
         }
         task::sleep(RENEW_INTERVAL).await;
--- a/crates/carawaybarrow/src/node/job_writer.rs
+++ b/crates/carawaybarrow/src/node/job_writer.rs
@@ -20,9 +20,9 @@
 /// Pause after a failed write.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// Number of concurrent writers. Each waits for the answer of the store, which takes at least 4 ms, and one change
-/// stores at most fifteen jobs.
-pub const WRITERS: usize = 4;
+/// Number of concurrent writers. Each waits for the answer of the store, which takes 4 ms, or 0.3 s while the store is
+/// slow; one change stores at most fifteen jobs, and a large fleet ends hundreds of jobs a second.
+pub const WRITERS: usize = 16;
 
 /// Rows of one change that are available to jobs. One row is the condition that the term has not ended.
 const JOB_ROWS: usize = MAX_ROWS - 1;
--- a/crates/carawaybarrow/src/node/mod.rs
+++ b/crates/carawaybarrow/src/node/mod.rs
@@ -6,6 +6,7 @@
 //!   documents in the store.
 //! - `callers`, `key_writes`, `peers`: requests of callers, and calls between entries.
 //! - `term`, `worker_polls`, `store_watches`, `job_writer`, `vm_orders`: state of a term and the loops that update it.
+//! - `notify`: notifications between tasks.
 //! - `metrics`: counters and histograms.
 
 pub mod callers;
@@ -14,6 +15,7 @@
 pub mod key_writes;
 pub mod members;
 pub mod metrics;
+pub mod notify;
 pub mod peers;
 pub mod records;
 pub mod run;
--- a/crates/carawaybarrow/src/node/peers.rs
+++ b/crates/carawaybarrow/src/node/peers.rs
@@ -6,6 +6,7 @@
 
 use carawaybarrow_core::sched::graph::{JobKey, QueueName};
 use carawaybarrow_core::sched::progress::{JobRecord, JobState};
+use carawaybarrow_platform::store::LeaseId;
 use http_types::Method;
 use serde::{Deserialize, Serialize};
 use tide::{Request, Response, StatusCode};
@@ -23,6 +24,19 @@
 /// store.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Time for an answer to a request for relief, which takes one call to the store.
+const RELIEF_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Number of entries that a scheduler asks for relief.
+const RELIEF_ATTEMPTS: usize = 3;
+
+/// Request of a scheduler that has lost the store.
+#[derive(Debug, Serialize, Deserialize)]
+struct Relief {
+    /// Lease of its term.
+    lease: u64,
+}
+
 /// A job that was just accepted.
 #[derive(Debug, Serialize, Deserialize)]
 struct NewJob {
@@ -108,6 +122,24 @@
         answer == "status 200"
     }
 
+    /// Asks strong entries to end the lease of a term whose scheduler has lost the store, and to take over. Returns
+    /// whether one has ended it. Without an answer, the term goes on until a worker refuses its token.
+    pub async fn request_relief(&self, term: &Term) -> bool {
+        let call = Call::new(Method::Post, format!("/terms/{}/relief", term.owner.term))
+            .with_body(records::encode(&Relief { lease: term.lease.0 }));
+        for peer in self.view.strong_entries(RELIEF_ATTEMPTS) {
+            let answer = match self.client.call(peer, &call, RELIEF_TIMEOUT).await {
+                Ok(reply) => format!("status {}", reply.status),
+                Err(e) => e.to_string(),
+            };
+            log::warn!(peer:% = peer, term = term.owner.term, answer = answer; "the store is lost; relief requested");
+            if answer == "status 200" {
+                return true;
+            }
+        }
+        false
+    }
+
     /// State of a job; `None` if the scheduler doesn't know it or gives no answer.
     pub async fn state_of(&self, job: &JobKey) -> Option<JobState> {
         if let Some(term) = self.view.term() {
@@ -132,6 +164,7 @@
     app.at("/jobs/:job").put(put_job).delete(delete_job).get(get_job);
     app.at("/queues/:queue").get(get_queue);
     app.at("/terms/:term/handover").post(hand_over);
+    app.at("/terms/:term/relief").post(relieve);
 }
 
 /// Term of this entry, if it schedules and has loaded the jobs.
@@ -184,6 +217,31 @@
     }
 }
 
+/// Ends the lease of a scheduler that has lost the store, and probes the store at once to take over. An entry that has
+/// not just heard from the store refuses, as the store may be lost for all.
+async fn relieve(mut req: Request<Arc<View>>) -> tide::Result {
+    let requested_term = req.param("term").ok().and_then(|t| t.parse().ok());
+    let relief: Relief = records::decode(&req.body_bytes().await?)?;
+    let view = req.state();
+    if !view.reaches_store() || view.is_stopping() {
+        return Ok(Response::new(StatusCode::ServiceUnavailable));
+    }
+    if view.scheduler().map(|o| o.term) != requested_term {
+        return Ok(Response::new(StatusCode::Conflict));
+    }
+    Ok(match view.store.end_lease(LeaseId(relief.lease), RELIEF_TIMEOUT).await {
+        Ok(()) => {
+            log::warn!(term = requested_term.unwrap_or(0); "lease of a scheduler that has lost the store ended");
+            view.request_probe();
+            Response::new(StatusCode::Ok)
+        }
+        Err(e) => {
+            log::info!(error:% = e; "the lease of another scheduler can't be ended");
+            Response::new(StatusCode::ServiceUnavailable)
+        }
+    })
+}
+
 async fn get_queue(req: Request<Arc<View>>) -> tide::Result {
     let queue = QueueName::new(req.param("queue").unwrap_or_default());
     Ok(match loaded_term(&req) {
--- a/crates/carawaybarrow/src/node/term.rs
+++ b/crates/carawaybarrow/src/node/term.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use async_std::{channel, task};
+use async_std::task;
 use carawaybarrow_core::Map;
 use carawaybarrow_core::sched::advice::StepName;
 use carawaybarrow_core::sched::event::Event;
@@ -17,6 +17,7 @@
 use carawaybarrow_platform::store::{Item, LeaseId, StoreError, StoreRevision};
 use carawaybarrow_platform::workers::{OrderOutcome, RunLocation, WorkerClient};
 
+use crate::node::notify::Notify;
 use crate::node::records::{self, Owner};
 use crate::node::view::{self, View};
 
@@ -53,30 +54,6 @@
 /// and answers.
 const PLAN_PAUSE_FACTOR: u32 = 3;
 
-/// A notification that is kept until a task waits for it. Several before the wait count as one.
-#[derive(Debug)]
-struct Notify {
-    sender: channel::Sender<()>,
-    receiver: channel::Receiver<()>,
-}
-
-impl Notify {
-    fn new() -> Self {
-        let (sender, receiver) = channel::bounded(1);
-        Self { sender, receiver }
-    }
-
-    fn notify(&self) {
-        // A full channel already holds a notification.
-        let _ = self.sender.try_send(());
-    }
-
-    async fn wait(&self) {
-        // The sender is a field of this value, so `recv` can't fail.
-        let _ = self.receiver.recv().await;
-    }
-}
-
 /// Term of this entry as the scheduler.
 #[derive(Debug)]
 pub struct Term {
--- a/crates/carawaybarrow/src/node/view.rs
+++ b/crates/carawaybarrow/src/node/view.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 
+use async_std::future;
 use carawaybarrow_core::sched::scheduler::Now;
 use carawaybarrow_core::units::{Millis, MonoTime};
 use carawaybarrow_platform::configuration::{self, Configuration};
@@ -13,6 +14,7 @@
 
 use crate::clock;
 use crate::node::metrics::NodeMetrics;
+use crate::node::notify::Notify;
 use crate::node::records::{self, Member, Owner, SCHEDULER_KEY};
 use crate::node::term::Term;
 
@@ -20,6 +22,9 @@
 /// answer.
 pub const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Age of the last proof up to which the store counts as reached: a probe and its answer.
+const REACHED_AGE: Duration = Duration::from_millis(700);
+
 /// Time for an answer to a probe; slow answers of a store under load take up to 0.5 s.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -57,6 +62,7 @@
     /// Other entries; `None` until their records were read.
     others: Mutex<Option<Vec<Member>>>,
     stopping: AtomicBool,
+    probe_request: Notify,
 }
 
 impl View {
@@ -72,6 +78,7 @@
             term: Mutex::default(),
             others: Mutex::default(),
             stopping: AtomicBool::new(false),
+            probe_request: Notify::new(),
         }
     }
 
@@ -119,6 +126,34 @@
         self.stopping.load(Ordering::SeqCst)
     }
 
+    /// Whether the store has just answered this entry.
+    #[must_use]
+    pub fn reaches_store(&self) -> bool {
+        let age = self.probed().proved_at.map(|at| clock::boot_now().since(at));
+        age.is_some_and(|age| age <= Millis(REACHED_AGE.as_millis() as u64))
+    }
+
+    /// Lets the next probe of the store begin at once.
+    pub fn request_probe(&self) {
+        self.probe_request.notify();
+    }
+
+    /// Waits until the next probe is due or requested.
+    pub async fn wait_for_probe(&self) {
+        // A timeout means that the probe is due.
+        let _ = future::timeout(PROBE_INTERVAL, self.probe_request.wait()).await;
+    }
+
+    /// Addresses of the entries that are not clearly weaker than this one, the strongest first, at most `limit`.
+    #[must_use]
+    pub fn strong_entries(&self, limit: usize) -> Vec<SocketAddr> {
+        let members = self.others.lock().expect("no holder panics");
+        let is_strong = |m: &&Member| !self.settings.strength.is_clearly_stronger_than(&m.strength);
+        let mut strong: Vec<&Member> = members.iter().flatten().filter(is_strong).collect();
+        strong.sort_by_key(|m| std::cmp::Reverse((m.strength.cpu, m.strength.link_kbps)));
+        strong.into_iter().take(limit).map(|m| m.peers).collect()
+    }
+
     /// Marks the process as shutting down.
     pub fn begin_shutdown(&self) {
         self.stopping.store(true, Ordering::SeqCst);
