Poll idle workers once a second, tick five times a second

Cause: of the processor time of a scheduler of 1,100 workers, about a sixth went into polls of workers without runs and a fourteenth into ticks.

Change: polls of workers without runs wait up to 1 s (runs end a poll at once, and a worker stays reachable for 1.7 s); ticks each 0.2 s, plans at least 8 ms apart.

--- a/crates/carawaybarrow/src/node/term.rs
+++ b/crates/carawaybarrow/src/node/term.rs
@@ -47,8 +47,8 @@
 /// Factor by which the transfer of a page may exceed its time on an idle link, as the link carries other traffic too.
 const TRANSFER_FACTOR: u64 = 2;
 
-/// Minimum pause between plans, in which changes accumulate. A start takes about this time to reach a worker.
-const PLAN_PAUSE: Duration = Duration::from_millis(4);
+/// Minimum pause between plans, in which changes accumulate: a hundredth of the time that a task takes.
+const PLAN_PAUSE: Duration = Duration::from_millis(8);
 
 /// Pause after a plan as a multiple of the time that it took, so that plans leave three quarters of the CPU to orders
 /// and answers.
--- a/crates/carawaybarrow/src/node/worker_polls.rs
+++ b/crates/carawaybarrow/src/node/worker_polls.rs
@@ -23,7 +23,7 @@
 const STORED_CHECKS: u32 = 25;
 
 /// Time between ticks of the scheduler.
-const TICK_INTERVAL: Duration = Duration::from_millis(100);
+const TICK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Polls one worker until the term ends or the scheduler drops the worker.
 pub async fn run(term: Arc<Term>, worker: WorkerKey) {
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -15,7 +15,7 @@
 use crate::sched::policy::{Bounds, Policy, QueuePolicy};
 use crate::sched::progress::{JobState, Progress};
 use crate::sched::share::TokenBucket;
-use crate::sched::worker::{MAX_WAIT, Worker};
+use crate::sched::worker::{MAX_IDLE_WAIT, MAX_WAIT, Worker};
 use crate::sched::writes::WriteQueue;
 use crate::units::{Millis, MonoTime, WallTime};
 
@@ -281,7 +281,11 @@
         // The lease of a silent worker must lapse, so that its tasks can start elsewhere.
         let lease_until = if is_answering { worker.extend_lease(now, lease) } else { None };
         let must_answer_at_once = worker.has_unstored_ends() || !is_answering || lease_until.is_none();
-        let wait = if must_answer_at_once { Millis(0) } else { MAX_WAIT };
+        let wait = match must_answer_at_once {
+            true => Millis(0),
+            false if worker.runs.is_empty() => MAX_IDLE_WAIT,
+            false => MAX_WAIT,
+        };
         Some(Poll { lease_until, durable_end: worker.durable_end(), wait })
     }
 
