Tell a start that was not sent from one that a worker refused

Cause: a start that a paused process dropped counted as a refusal of its worker, which then got no tasks for 0.3 s. Change: StartAnswer::NotSent.

--- a/crates/carawaybarrow/src/node/term.rs
+++ b/crates/carawaybarrow/src/node/term.rs
@@ -264,8 +264,7 @@
             && view::now().mono.since(planned) > MAX_ORDER_AGE
         {
             log::warn!(task:% = start.task, run = start.run, worker:% = start.worker; "start dropped, as it was not sent in time");
-            // Nothing was sent, which is what the answer of an unhealthy worker means.
-            let answer = StartAnswer::Unhealthy;
+            let answer = StartAnswer::NotSent;
             self.with(|s| s.apply_start_answer(view::now().mono, &start.worker, &start.task, start.run, answer));
             return self.request_plan();
         }
--- a/crates/carawaybarrow/src/node/view.rs
+++ b/crates/carawaybarrow/src/node/view.rs
@@ -23,7 +23,7 @@
 pub const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Age of the last proof up to which the store counts as reached: a probe and its answer.
-const REACHED_AGE: Duration = Duration::from_millis(700);
+const REACHED_AGE: Millis = Millis(700);
 
 /// Time for an answer to a probe; slow answers of a store under load take up to 0.5 s.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -130,7 +130,7 @@
     #[must_use]
     pub fn reaches_store(&self) -> bool {
         let age = self.probed().proved_at.map(|at| clock::boot_now().since(at));
-        age.is_some_and(|age| age <= Millis(REACHED_AGE.as_millis() as u64))
+        age.is_some_and(|age| age <= REACHED_AGE)
     }
 
     /// Lets the next probe of the store begin at once.
--- a/crates/core/src/sched/answers.rs
+++ b/crates/core/src/sched/answers.rs
@@ -116,7 +116,8 @@
             | StartAnswer::Late
             | StartAnswer::BadTicket
             | StartAnswer::Unhealthy
-            | StartAnswer::Malformed => {
+            | StartAnswer::Malformed
+            | StartAnswer::NotSent => {
                 if found.phase == Phase::Starting && found.last_ordered == found.first_ordered {
                     self.remove_run(name, run);
                 }
--- a/crates/core/src/sched/order.rs
+++ b/crates/core/src/sched/order.rs
@@ -90,6 +90,8 @@
     Unhealthy,
     /// The worker can't read the order.
     Malformed,
+    /// This process did not send the order.
+    NotSent,
     /// No answer: the order may still be executed.
     Unknown,
 }
@@ -108,6 +110,7 @@
             Self::OtherInstance => "other_instance",
             Self::Unhealthy => "unhealthy",
             Self::Malformed => "malformed",
+            Self::NotSent => "not_sent",
             Self::Unknown => "unknown",
         }
     }
--- a/crates/core/tests/sched/lifecycle.rs
+++ b/crates/core/tests/sched/lifecycle.rs
@@ -105,6 +105,22 @@
     assert_eq!((again.run, &again.worker), (start.run, &start.worker));
 }
 
+/// Guards against a worker that is spared because of a start that this process, paused for a while, did not send.
+#[test]
+fn start_that_was_not_sent_is_planned_again_on_the_same_worker() {
+    let mut model = Model::new(1);
+    model.poll_all();
+    model.accept("j", job(vec![step(1, 1_000)]));
+    for run in [1, 2] {
+        model.scheduler.plan(model.time());
+        let orders = model.scheduler.take_orders();
+        let [Order::Start(start)] = orders.as_slice() else { panic!("{orders:?}") };
+        assert_eq!(start.run, run);
+        let now = MonoTime(model.now);
+        model.scheduler.apply_start_answer(now, &start.worker, &start.task, start.run, StartAnswer::NotSent);
+    }
+}
+
 /// Guards against a team whose runs use more resources than the team's ceiling.
 #[test]
 fn team_stays_within_its_ceiling() {
