Refuse relief for 3 s after the store was lost for the entry itself

Cause: at the end of an outage for all, an entry that already reaches the store again could take a term over from a scheduler whose last renewal had failed, for nothing. Change: an entry gives relief only if it has not lost the store for 3 s.

--- a/crates/carawaybarrow/src/node/view.rs
+++ b/crates/carawaybarrow/src/node/view.rs
@@ -25,6 +25,9 @@
 /// Age of the last proof up to which the store counts as reached: a probe and its answer.
 const REACHED_AGE: Millis = Millis(700);
 
+/// Time after an outage in which an entry can't tell whether a scheduler without the store is the only one that lost it.
+const REGAINED_AGE: Millis = Millis(3_000);
+
 /// Time for an answer to a probe; slow answers of a store under load take up to 0.5 s.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -46,6 +49,8 @@
     /// Time at which the latest successful probe was sent.
     proved_at: Option<MonoTime>,
     is_store_lost: bool,
+    /// Time at which the store answered again after it was lost.
+    regained_at: Option<MonoTime>,
 }
 
 /// View of an entry, shared by its tasks.
@@ -126,11 +131,13 @@
         self.stopping.load(Ordering::SeqCst)
     }
 
-    /// Whether the store has just answered this entry.
+    /// Whether the store has just answered this entry, and was not lost for it shortly before.
     #[must_use]
     pub fn reaches_store(&self) -> bool {
-        let age = self.probed().proved_at.map(|at| clock::boot_now().since(at));
-        age.is_some_and(|age| age <= REACHED_AGE)
+        let now = clock::boot_now();
+        let probed = self.probed();
+        let is_reached = probed.proved_at.is_some_and(|at| now.since(at) <= REACHED_AGE);
+        is_reached && !probed.is_store_lost && probed.regained_at.is_none_or(|at| now.since(at) >= REGAINED_AGE)
     }
 
     /// Lets the next probe of the store begin at once.
@@ -263,6 +270,7 @@
         let version = probed.configuration.as_ref().map_or(0, |c| c.version);
         self.metrics.set_configuration(version, clock::boot_now().since(sent).0);
         if std::mem::take(&mut probed.is_store_lost) {
+            probed.regained_at = Some(clock::boot_now());
             log::info!("store regained");
         }
     }
