Review: a lasting job that fits nowhere stops its pool

Cause: place_tasks reserves the emptiest worker for each lasting task that fits on no worker, even if it never can.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -2,6 +2,7 @@
 //! stand-ins for the platform, on loopback addresses. Writes what was seen to `FOLDER/record.txt`. Exits with 1 if the
 //! rule was broken, 0 if it held, and 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
+mod hopeless_job;
 mod installation;
 mod restarted_workers;
 mod slow_vm_list;
@@ -44,6 +45,7 @@
         match case.as_str() {
             "restarted-workers" => restarted_workers::play(&mut record, has_trouble).await,
             "slow-vm-list" => slow_vm_list::play(&mut record, has_trouble).await,
+            "hopeless-job" => hopeless_job::play(&mut record, has_trouble).await,
             "removed-route" => removed_route::play(&mut record, has_trouble).await,
             _ => Err(format!("there is no case {case:?}").into()),
         }
