--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -4,11 +4,11 @@
 
 mod hopeless_job;
 mod installation;
+mod record;
+mod removed_route;
 mod restarted_workers;
 mod slow_vm_list;
 mod vm_api;
-mod record;
-mod removed_route;
 
 use std::path::PathBuf;
 use std::process::exit;
--- a/review/standin/src/vm_api.rs
+++ b/review/standin/src/vm_api.rs
@@ -88,7 +88,10 @@
         })
         .collect();
     task::sleep(api.delay).await;
-    Ok(Response::builder(200).content_type("application/json").body(json!({ "machines": machines }).to_string()).build())
+    Ok(Response::builder(200)
+        .content_type("application/json")
+        .body(json!({ "machines": machines }).to_string())
+        .build())
 }
 
 /// There is one pool and no wave, so no order is expected.
