Poll a worker again that was dropped and listed again

The list of VMs shows a crashed worker's VM as down, the scheduler drops the worker and its polls end. Its report is still in the store, so the scheduler adds it again between two refreshes, and watch_workers, which kept its own set of polled workers, did not notice.

The scheduler keeps the set. start_poll removes a worker from it in the step in which it ends the polls, so each known worker is polled by exactly one task.

The soak's installation moves to a module of its own, with a stand-in for the VM API, so that other tests can start it.

--- a/crates/carawaybarrow/src/node/store_watches.rs
+++ b/crates/carawaybarrow/src/node/store_watches.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use async_std::task;
-use carawaybarrow_core::Set;
 use carawaybarrow_core::sched::directory::{Directory, WorkerChange};
 use carawaybarrow_core::sched::graph::WorkerKey;
 use carawaybarrow_core::sched::order::WorkerReport;
@@ -120,7 +119,6 @@
 /// Applies changes of the workers' reports until the term ends, and starts the polls of new workers.
 pub async fn watch_workers(term: Arc<Term>) {
     let mut directory = Directory::new(view::now().mono);
-    let mut polled = Set::default();
     let mut recovery_set_revision = None;
     let mut after = None;
     let mut refreshed_at = MonoTime(0);
@@ -138,15 +136,12 @@
         let is_changed = directory.take_changed();
         if is_changed || now.since(refreshed_at) >= REFRESH_INTERVAL {
             refreshed_at = now;
-            let known: Vec<_> = term.with(|s| {
+            let unpolled = term.with(|s| {
                 s.set_workers(now, directory.reports());
-                s.workers().map(|w| w.report.key.clone()).collect()
+                s.take_unpolled()
             });
-            polled.retain(|key| known.contains(key));
-            for key in known {
-                if polled.insert(key.clone()) {
-                    task::spawn(worker_polls::run(Arc::clone(&term), key));
-                }
+            for key in unpolled {
+                task::spawn(worker_polls::run(Arc::clone(&term), key));
             }
         }
         if let Some(policy) = term.view.configuration().map(|c| Arc::clone(&c.policy)) {
--- /dev/null
+++ b/crates/carawaybarrow/tests/installation/mod.rs
@@ -0,0 +1,310 @@
+//! An installation of `carawaybarrow node` processes against stand-ins for the platform in the test's process.
+#![allow(dead_code, reason = "each test file uses some of the helpers")]
+
+use std::fs::{self, File};
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use carawaybarrow_standin::caller::{Answer, Caller, Job};
+use carawaybarrow_standin::checker::ObservedJob;
+use carawaybarrow_standin::proxy::{PathState, Proxy};
+use carawaybarrow_standin::settings::{
+    CALLERS_PORT, PATH_VARIABLE, entry_settings, vm_api_settings, write_configuration,
+};
+use carawaybarrow_standin::store::{self, Store};
+use carawaybarrow_standin::vms::VmApi;
+use carawaybarrow_standin::workers::{self, Fleet};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Maximum time from the last fault until all accepted jobs are in a final state. It covers a takeover that waits for
+/// the leases of workers to lapse, and the runs after it. The wait is up to 7.6 s: 2 s in which the former scheduler
+/// may still extend leases, and the longest lease (4.5 s, and a margin of 1 s) on a worker's clock that runs 2 % slow.
+const FINISH_LIMIT: Duration = Duration::from_secs(25);
+
+/// Maximum time until another entry is the scheduler. It covers the lapse of the former scheduler's lease, the takeover
+/// delay of a weaker entry or the minimum age of a term for a handover, and a margin for a busy machine.
+const TAKEOVER_LIMIT: Duration = Duration::from_secs(20);
+
+/// Attempts of a caller to submit a job.
+const ATTEMPTS: usize = 6;
+
+const POOL: &str = "pool";
+
+/// API key of all callers.
+pub const KEY: &str = "soak-key";
+
+/// Size of an installation.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    pub entries: u8,
+    pub workers: usize,
+    /// Time that the VM API takes for a list; `None` for an installation without a VM API.
+    pub vm_api_delay: Option<Duration>,
+}
+
+impl Size {
+    pub const SMALL: Self = Self { entries: 3, workers: 6, vm_api_delay: None };
+}
+
+/// An entry process. It is killed on drop.
+pub struct Entry {
+    /// Address for callers.
+    pub address: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    /// Its path to the store.
+    pub store_proxy: Proxy,
+    child: Option<Child>,
+}
+
+impl Entry {
+    /// Starts the process.
+    pub fn start(&mut self) {
+        let log = File::options().create(true).append(true).open(&self.log).expect("a log file");
+        let child = Command::new(env!("CARGO_BIN_EXE_carawaybarrow"))
+            .arg("node")
+            .env(PATH_VARIABLE, &self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().expect("a second handle of the log file"))
+            .stderr(log)
+            .spawn()
+            .expect("the binary starts");
+        self.child = Some(child);
+    }
+
+    /// Sends a signal to the process, if it runs.
+    pub fn signal(&self, name: &str) {
+        let Some(child) = &self.child else { return };
+        let status = Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
+        assert!(status.is_ok(), "the signal can be sent");
+    }
+
+    /// Kills the process, if it runs.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // SIGKILL also ends a suspended process; an error means that it has ended already.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// An installation whose connections, processes, store and workers can be made to fail.
+pub struct Installation {
+    pub store: Store,
+    pub fleet: Fleet,
+    pub worker_proxies: Vec<Proxy>,
+    pub entries: Vec<Arc<Mutex<Entry>>>,
+    /// Folder of the settings and logs.
+    pub folder: PathBuf,
+}
+
+impl Installation {
+    /// Starts an installation. `seed` selects its IP addresses.
+    pub async fn start(seed: u64, size: Size) -> Self {
+        let store = Store::default();
+        let (address, handle) = store.serve().await.expect("a port for the store");
+        let (fleet, handles) = Fleet::start(&store, POOL, size.workers).await.expect("ports for the workers");
+        // Keeps the servers running until the test process ends.
+        std::mem::forget((handle, handles));
+        let mut vm_api = None;
+        if let Some(delay) = size.vm_api_delay {
+            let (vm_api_address, handle) = VmApi::new(fleet.clone(), delay).serve().await.expect("a port for the VM API");
+            std::mem::forget(handle);
+            vm_api = Some(vm_api_address);
+        }
+        let mut worker_proxies = Vec::new();
+        for worker_index in 0..size.workers {
+            let proxy = Proxy::start(fleet.address(worker_index)).await.expect("a port for a proxy");
+            fleet.set_address(worker_index, proxy.address());
+            worker_proxies.push(proxy);
+        }
+        write_configuration(&store, 1, POOL, &[KEY]);
+        let folder = std::env::temp_dir().join(format!("carawaybarrow-soak-{}-{seed}", std::process::id()));
+        fs::create_dir_all(&folder).expect("a folder for settings and logs");
+        let mut entries = Vec::new();
+        for entry_index in 0..size.entries {
+            let store_proxy = Proxy::start(address).await.expect("a port for a proxy");
+            // Each installation has its own addresses on the loopback interface.
+            let process = std::process::id() % 200;
+            let ip = IpAddr::from([127, 20 + u8::try_from(process).unwrap_or(0), (seed % 250) as u8, 10 + entry_index]);
+            let settings = folder.join(format!("e{entry_index}.toml"));
+            // The first entry is weaker, so it delays takeovers and hands over its terms.
+            let cpu_share = if entry_index == 0 { 0.1 } else { 0.25 };
+            let mut text = entry_settings(&format!("e{entry_index}"), ip, store_proxy.address(), cpu_share);
+            if let Some(address) = vm_api {
+                text.push_str(&vm_api_settings(address));
+            }
+            fs::write(&settings, text).expect("the settings can be written");
+            let mut entry = Entry {
+                address: SocketAddr::new(ip, CALLERS_PORT),
+                settings,
+                log: folder.join(format!("e{entry_index}.log")),
+                store_proxy,
+                child: None,
+            };
+            entry.start();
+            entries.push(Arc::new(Mutex::new(entry)));
+        }
+        Self { store, fleet, worker_proxies, entries, folder }
+    }
+
+    /// Addresses of the entries for callers.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(|e| e.lock().expect("the lock is not poisoned").address).collect()
+    }
+
+    /// Ends all faults that still last. Entries that are down are restarted by the task of their fault.
+    pub fn end_faults(&self) {
+        self.store.set_fault(store::Fault::None);
+        self.worker_proxies.iter().for_each(|proxy| proxy.set_path_state(PathState::Open));
+        (0..self.worker_proxies.len()).for_each(|worker_index| self.fleet.set_fault(worker_index, workers::Fault::None));
+        for entry in &self.entries {
+            let entry = entry.lock().expect("the lock is not poisoned");
+            entry.store_proxy.set_path_state(PathState::Open);
+            entry.signal("CONT");
+        }
+    }
+}
+
+/// Starts an entry's process again unless it has one.
+pub fn restart(entry: &Mutex<Entry>) {
+    let mut entry = entry.lock().expect("the lock is not poisoned");
+    if entry.child.is_none() {
+        entry.start();
+    }
+}
+
+/// Submits a short job until it is accepted, which shows that the installation is in service.
+pub async fn await_start(installation: &Installation, caller: &Caller) {
+    let deadline = Instant::now() + TAKEOVER_LIMIT;
+    let entries = installation.addresses();
+    for number in 0.. {
+        let job = Job { id: format!("{:016x}", u64::MAX - number), steps: vec![1], run_time_ms: Some(50) };
+        if submit(caller, &entries, job, 0).await.is_accepted {
+            return;
+        }
+        assert!(Instant::now() < deadline, "no entry accepts a job, see {}", installation.folder.display());
+    }
+}
+
+/// Submits a job, with each further attempt at the next entry.
+pub async fn submit(caller: &Caller, entries: &[SocketAddr], job: Job, first: usize) -> ObservedJob {
+    let mut observed = ObservedJob { job, is_accepted: false, is_refused: true, cancelled: None, completed: None };
+    for attempt in 0..ATTEMPTS {
+        match caller.submit(entries[(first + attempt) % entries.len()], &observed.job).await {
+            Answer::Yes(_) => {
+                observed.is_accepted = true;
+                observed.is_refused = false;
+                return observed;
+            }
+            Answer::Refused => {}
+            _ => observed.is_refused = false,
+        }
+        task::sleep(Duration::from_millis(200)).await;
+    }
+    observed
+}
+
+/// Submits random jobs until `deadline` and cancels a tenth of them.
+pub async fn send_jobs(entries: Vec<SocketAddr>, seed: u64, deadline: Instant) -> Vec<ObservedJob> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let caller = Arc::new(Caller::new(KEY));
+    let mut sent = Vec::new();
+    while Instant::now() < deadline {
+        let steps = (0..rng.random_range(1..3)).map(|_| rng.random_range(1..6)).collect();
+        let job =
+            Job { id: format!("{:016x}", rng.random::<u64>()), steps, run_time_ms: Some(rng.random_range(50..500)) };
+        let (first, to_cancel) = (rng.random_range(0..entries.len()), rng.random_ratio(1, 10));
+        let (caller, entries) = (Arc::clone(&caller), entries.clone());
+        sent.push(task::spawn(async move {
+            let mut observed = submit(&caller, &entries, job, first).await;
+            if observed.is_accepted && to_cancel {
+                task::sleep(Duration::from_millis(150)).await;
+                if let Answer::Yes(_) = caller.cancel(entries[first], &observed.job).await {
+                    observed.cancelled = Some(Instant::now());
+                }
+            }
+            observed
+        }));
+        task::sleep(Duration::from_millis(rng.random_range(20..180))).await;
+    }
+    let mut observed = Vec::new();
+    for job in sent {
+        observed.push(job.await);
+    }
+    observed
+}
+
+/// Waits until each accepted job is in a final state. Returns a message for each job that is lost, failed or not final
+/// after [`FINISH_LIMIT`].
+pub async fn await_final_states(installation: &Installation, jobs: &mut [ObservedJob]) -> Vec<String> {
+    let caller = Caller::new(KEY);
+    let entries = installation.addresses();
+    let deadline = Instant::now() + FINISH_LIMIT;
+    let mut open: Vec<usize> = (0..jobs.len()).filter(|job_index| jobs[*job_index].is_accepted).collect();
+    let mut violations = Vec::new();
+    let mut last = String::new();
+    while !open.is_empty() && Instant::now() < deadline {
+        let mut remaining = Vec::new();
+        for job_index in open {
+            let observed = &mut jobs[job_index];
+            let answer = caller.state(entries[job_index % entries.len()], &observed.job).await;
+            match &answer {
+                Answer::Yes(state) if state == "completed" => observed.completed = Some(Instant::now()),
+                Answer::Yes(state) if state == "cancelled" && observed.cancelled.is_some() => {}
+                // A cancellation that got no response may have been applied.
+                Answer::Yes(state) if state == "cancelled" => observed.cancelled = Some(Instant::now()),
+                Answer::Yes(state) if state == "failed" => {
+                    violations.push(format!("{}: failed although no task reported a failure", observed.job.id))
+                }
+                Answer::Unknown => {
+                    violations.push(format!("{}: accepted and then reported as unknown", observed.job.id))
+                }
+                _ => {
+                    last = format!("{}: {answer:?}", observed.job.id);
+                    remaining.push(job_index);
+                }
+            }
+        }
+        open = remaining;
+        task::sleep(Duration::from_millis(100)).await;
+    }
+    if !open.is_empty() {
+        violations.push(format!("{} accepted jobs are in no final state; the last one: {last}", open.len()));
+    }
+    violations
+}
+
+/// Waits until there is a scheduler. Returns its record in the store.
+pub async fn await_any_scheduler(installation: &Installation) -> serde_json::Value {
+    let deadline = Instant::now() + TAKEOVER_LIMIT;
+    loop {
+        if let Some(owner) = installation.store.read("scheduler/owner") {
+            return owner;
+        }
+        assert!(Instant::now() < deadline, "no entry is the scheduler, see {}", installation.folder.display());
+        task::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Waits until an entry is the scheduler.
+pub async fn await_scheduler(installation: &Installation, entry: &str) {
+    let deadline = Instant::now() + TAKEOVER_LIMIT;
+    let schedules = || installation.store.read("scheduler/owner").is_some_and(|owner| owner["entry"] == entry);
+    while !schedules() {
+        assert!(Instant::now() < deadline, "{entry} is not the scheduler, see {}", installation.folder.display());
+        task::sleep(Duration::from_millis(50)).await;
+    }
+}
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -66,6 +66,8 @@
     pub(super) policy: Arc<Policy>,
     pub(super) jobs: Map<JobKey, Job>,
     pub(super) workers: Map<WorkerKey, Worker>,
+    /// Workers that the process polls.
+    polled: Set<WorkerKey>,
     /// Resources of the runs of each team.
     pub(super) team_usage: Map<TeamName, Resources>,
     team_buckets: Map<TeamName, TokenBucket>,
@@ -106,6 +108,7 @@
             policy,
             jobs: Map::default(),
             workers: Map::default(),
+            polled: Set::default(),
             team_usage: Map::default(),
             team_buckets: Map::default(),
             orders: Vec::new(),
@@ -272,10 +275,21 @@
         }
     }
 
-    /// Next poll of a worker; `None` if the worker is no longer known.
+    /// Workers that nothing polls. From now on they count as polled, until [`Self::start_poll`] returns `None`.
+    pub fn take_unpolled(&mut self) -> Vec<WorkerKey> {
+        let unpolled: Vec<WorkerKey> = self.workers.keys().filter(|key| !self.polled.contains(*key)).cloned().collect();
+        self.polled.extend(unpolled.iter().cloned());
+        unpolled
+    }
+
+    /// Next poll of a worker. Returns `None` if the worker is no longer known; its polls must end then. Should it become
+    /// known again, [`Self::take_unpolled`] returns it.
     pub fn start_poll(&mut self, now: MonoTime, key: &WorkerKey) -> Option<Poll> {
         let lease = self.lease_length();
-        let worker = self.workers.get_mut(key)?;
+        let Some(worker) = self.workers.get_mut(key) else {
+            self.polled.remove(key);
+            return None;
+        };
         worker.poll_sent = now;
         let is_answering = worker.last_answer.is_some_and(|at| now.since(at).0 < crate::sched::worker::SILENCE_LIMIT.0);
         // The lease of a silent worker must lapse, so that its tasks can start elsewhere.
