Apply no list of VMs to what a worker answered after its request

A list of VMs that was requested while a worker was down arrived after the worker had started again, answered and got tasks, and ended these runs.

A list, and an answer of another worker at the address, now say nothing about a worker that has answered since they were requested. known_since counts from the present incarnation, as lists lag. A start without an answer to a worker that is down is kept until the lease lapses, as the next incarnation may execute it. The first answer of an incarnation ends only runs that were confirmed before its poll was sent. The request time of a list is read just before the call.

--- a/crates/carawaybarrow/src/node/vm_orders.rs
+++ b/crates/carawaybarrow/src/node/vm_orders.rs
@@ -61,6 +61,7 @@
             read_new_waves(&term, &mut waves, &complete_waves).await;
         }
         if now >= next_list {
+            let requested = view::now().mono;
             match vms.list(VM_API_TIMEOUT).await {
                 Ok(new) => listed = new,
                 Err(e) => {
@@ -70,7 +71,7 @@
                 }
             }
             next_list = view::now().mono + list_interval(&term.view.settings.strength, listed.len());
-            term.with(|s| s.apply_vm_list(now, view::now().mono, &listed));
+            term.with(|s| s.apply_vm_list(requested, view::now().mono, &listed));
         }
         // An earlier scheduler may have given orders until just before this term.
         let may_order =
--- a/crates/carawaybarrow/src/node/worker_polls.rs
+++ b/crates/carawaybarrow/src/node/worker_polls.rs
@@ -53,7 +53,7 @@
             }
             Ok(PollOutcome::Fenced) => return term.end("a worker has seen a higher token"),
             Ok(PollOutcome::OtherInstance) => {
-                term.with(|s| s.drop_ended_worker(view::now().mono, &worker));
+                term.with(|s| s.drop_ended_worker(view::now().mono, &worker, sent));
                 term.request_plan();
                 task::sleep(RETRY_PAUSE).await;
             }
--- a/crates/core/src/sched/answers.rs
+++ b/crates/core/src/sched/answers.rs
@@ -18,8 +18,9 @@
         let Some(worker) = self.workers.get_mut(key) else { return };
         if worker.update_clock(now.mono, lists.clock, lists.incarnation) {
             self.events.push(Event::WorkerRestarted { worker: key.clone() });
-            // A start without an answer may still be executed by the new incarnation, which has the same id.
-            self.drop_runs(now.mono, key, |(_, run)| run.is_confirmed());
+            // A start without an answer may still be executed by the new incarnation, which has the same id. One that was
+            // answered after the poll was sent may be on it already.
+            self.drop_runs(now.mono, key, |(_, run)| run.confirmed_at < sent);
         }
         let has_all_ends = lists.ended.len() < MAX_ENDS_PER_ANSWER;
         for end in lists.ended {
@@ -48,6 +49,7 @@
                 worker.assume_lease(now.mono, lease);
             }
             worker.last_answer = Some(now.mono);
+            worker.last_heard = now.mono;
             worker.refuses_connections = false;
             worker.refuses_earlier_terms = true;
             worker.has_orphans = has_orphans;
@@ -56,11 +58,26 @@
         self.check_reconciled(now.mono);
     }
 
-    /// Drops all runs of a worker that has ended: it has restarted, was replaced, or its VM is gone. Another
-    /// incarnation or another worker answers at its address, or the lists of workers or VMs show it.
-    pub fn drop_ended_worker(&mut self, now: MonoTime, key: &WorkerKey) {
-        self.events.push(Event::WorkerRestarted { worker: key.clone() });
+    /// Drops all runs of a worker whose id nobody has any more: it was replaced, or its VM is gone. Another worker
+    /// answers at its address, or the lists of workers or VMs show it. `requested` is the time at which this was asked;
+    /// it has no effect if the worker has answered since.
+    pub fn drop_ended_worker(&mut self, now: MonoTime, key: &WorkerKey, requested: MonoTime) {
+        if self.workers.get(key).is_some_and(|w| w.is_outdated(requested)) {
+            return;
+        }
         self.drop_runs(now, key, |_| true);
+        self.end_worker(now, key);
+    }
+
+    /// Drops the runs of a worker that is down. It may start again under its id, and then execute a start that has no
+    /// answer yet, so such a run is kept until the lease has lapsed.
+    pub(super) fn drop_crashed_worker(&mut self, now: MonoTime, key: &WorkerKey) {
+        self.drop_runs(now, key, |(_, run)| run.is_confirmed());
+        self.end_worker(now, key);
+    }
+
+    fn end_worker(&mut self, now: MonoTime, key: &WorkerKey) {
+        self.events.push(Event::WorkerRestarted { worker: key.clone() });
         self.drop_orphaned_runs(key);
         self.unreconciled.remove(key);
         self.check_reconciled(now);
@@ -92,6 +109,7 @@
             return answer == StartAnswer::Fenced;
         };
         found.in_flight = false;
+        let ordered = found.last_ordered;
         match answer {
             StartAnswer::Started => {
                 if found.phase == Phase::Starting {
@@ -122,9 +140,14 @@
                     self.remove_run(name, run);
                 }
             }
-            StartAnswer::OtherInstance => self.drop_ended_worker(now, worker),
+            StartAnswer::OtherInstance => self.drop_ended_worker(now, worker, ordered),
             StartAnswer::Fenced => return true,
         }
+        if matches!(answer, StartAnswer::Started | StartAnswer::OldRun)
+            && let Some(worker) = self.workers.get_mut(worker)
+        {
+            worker.last_heard = now;
+        }
         false
     }
 
@@ -134,6 +157,10 @@
             found.in_flight = false;
             if is_accepted {
                 found.confirmed_at = found.confirmed_at.min(now);
+                let worker = found.worker.clone();
+                if let Some(worker) = self.workers.get_mut(&worker) {
+                    worker.last_heard = now;
+                }
             }
         }
     }
--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -55,7 +55,7 @@
         let unlisted = self.workers.values().filter(|w| !w.is_listed && is_replaced(&w.report));
         let replaced: Vec<WorkerKey> = unlisted.map(|w| w.report.key.clone()).collect();
         for key in replaced {
-            self.drop_ended_worker(now, &key);
+            self.drop_ended_worker(now, &key, now);
             self.workers.remove(&key);
         }
     }
@@ -63,7 +63,9 @@
     /// Drops the runs of workers that have ended according to the list of VMs. A worker has ended if its VM is down. A
     /// silent worker has also ended if its VM moves, is in another pool, is under maintenance, runs another worker or is
     /// not listed.
-    /// `requested` is the time at which the list was requested.
+    ///
+    /// `requested` is the time at which the list was requested. The list says nothing about workers that have answered
+    /// since.
     pub fn apply_vm_list(&mut self, requested: MonoTime, now: MonoTime, vms: &[Vm]) {
         let by_key: Map<&VmKey, &Vm> = vms.iter().map(|vm| (&vm.key, vm)).collect();
         let is_gone = |worker: &&Worker| {
@@ -80,12 +82,20 @@
                 }
                 None => is_silent && !vms.is_empty(),
             };
-            is_old && has_ended
+            is_old && has_ended && !worker.is_outdated(requested)
         };
-        let gone: Vec<WorkerKey> = self.workers.values().filter(is_gone).map(|w| w.report.key.clone()).collect();
-        for key in gone {
+        let is_down = |worker: &Worker| {
+            worker.report.vm.as_ref().and_then(|key| by_key.get(key)).is_some_and(|vm| vm.state == VmState::Down)
+        };
+        let gone: Vec<(WorkerKey, bool)> =
+            self.workers.values().filter(is_gone).map(|w| (w.report.key.clone(), is_down(w))).collect();
+        for (key, is_down) in gone {
             if self.workers.get(&key).is_some_and(|w| !w.is_gone) {
-                self.drop_ended_worker(now, &key);
+                if is_down {
+                    self.drop_crashed_worker(now, &key);
+                } else {
+                    self.drop_ended_worker(now, &key, requested);
+                }
             }
             if let Some(worker) = self.workers.get_mut(&key) {
                 worker.is_gone = true;
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -55,7 +55,7 @@
     pub is_listed: bool,
     /// Whether the list of VMs showed that it has ended.
     pub is_gone: bool,
-    /// Time since which this scheduler knows it.
+    /// Time since which this scheduler knows its present incarnation.
     pub known_since: MonoTime,
     /// Whether it gets no new tasks because its VM is to move or to have maintenance.
     pub is_cordoned: bool,
@@ -79,6 +79,8 @@
     pub refuses_connections: bool,
     /// Time of the last answer to a poll.
     pub last_answer: Option<MonoTime>,
+    /// Time of the last answer to a poll, or to a start or stop that the worker accepted.
+    pub last_heard: MonoTime,
     /// Time at which the last poll was sent. Not read at present.
     pub poll_sent: MonoTime,
     incarnation: Option<u64>,
@@ -114,6 +116,7 @@
             best_effort: 0,
             refuses_connections: false,
             last_answer: None,
+            last_heard: MonoTime(0),
             poll_sent: MonoTime(0),
             clock: None,
             lease_until: 0,
@@ -173,6 +176,12 @@
         self.last_answer.is_some_and(|at| now.since(at).0 < SILENCE_LIMIT.0 + MAX_WAIT.0)
     }
 
+    /// Whether an observation of the worker that was requested at `requested` is older than what it has answered since.
+    #[must_use]
+    pub fn is_outdated(&self, requested: MonoTime) -> bool {
+        self.last_heard > requested
+    }
+
     /// Whether its last answer is so recent that the state of its runs counts as current.
     #[must_use]
     pub fn is_current(&self, now: MonoTime) -> bool {
@@ -222,6 +231,7 @@
             self.clock = Some(ClockReading { clock, at: now });
         }
         if has_restarted {
+            self.known_since = now;
             self.lease_until = 0;
             self.last_applied_end = 0;
             self.unstored_ends.clear();
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -8,4 +8,5 @@
 mod overlap;
 mod peaks;
 mod random;
+mod restarts;
 mod takeover;
