Reserve workers only for lasting tasks that can fit there

Each plan took one worker out for each lasting task without room, whether or not the task could ever fit.

A worker is reserved only if the task fits beside the worker's lasting tasks and may run there by its label and the limit of tasks on a worker.

--- a/crates/core/src/sched/balance.rs
+++ b/crates/core/src/sched/balance.rs
@@ -6,7 +6,7 @@
 use std::collections::VecDeque;
 
 use crate::map::Map;
-use crate::sched::graph::{PoolName, VmKey, WorkerKey};
+use crate::sched::graph::{PoolName, Resources, Step, VmKey, WorkerKey};
 use crate::sched::job::Lateness;
 use crate::sched::maintenance::{Vm, VmAnswer, VmState};
 use crate::sched::scheduler::Scheduler;
@@ -99,8 +99,8 @@
         let max_moving = (listed.len() * MOVING_PERCENT).div_ceil(100);
         let max_ordered = self.bounds.vm_orders_per_sec * ORDER_PERCENT / 100;
         self.record_idle_workers(now, balance);
-        let capacity = listed.iter().map(|vm| vm.capacity.cpu).max().unwrap_or(0);
-        if capacity == 0 {
+        let largest = listed.iter().fold(Resources::default(), |largest, vm| largest.max(&vm.capacity));
+        if largest.cpu == 0 {
             return Vec::new();
         }
         let mut have: Map<PoolName, u64> = Map::default();
@@ -110,7 +110,7 @@
                 *have.entry(pool.clone()).or_default() += 1;
             }
         }
-        let needs = self.update_needs(now, balance, capacity, &have);
+        let needs = self.update_needs(now, balance, &largest, &have);
         let standby = self.policy.standby.clone();
         let mut donors = self.find_donors(balance, listed, &needs, &have, standby.as_ref());
         let mut undersized: Vec<(PoolName, u64, u64)> = needs
@@ -193,12 +193,13 @@
         }
     }
 
-    /// Number of lasting tasks of a pool that have no worker.
-    fn count_waiting_lasting(&self, pool: &PoolName) -> u64 {
+    /// Number of lasting tasks of a pool that have no worker and fit on the largest VM.
+    fn count_waiting_lasting(&self, pool: &PoolName, largest: &Resources) -> u64 {
         let jobs = self.jobs.values().filter(|j| !j.state.is_final() && self.pool_of(&j.spec) == pool);
         let mut count = 0;
         for job in jobs {
-            let lasting = job.spec.steps.iter().enumerate().filter(|(_, spec)| spec.lasting);
+            let is_demand = |spec: &Step| spec.lasting && spec.reserved().fits(largest);
+            let lasting = job.spec.steps.iter().enumerate().filter(|(_, spec)| is_demand(spec));
             for (number, _) in lasting {
                 let steps = job.occurrences.iter().filter_map(|o| o.steps.get(number));
                 count += steps.flat_map(|s| &s.tasks).filter(|t| t.is_waiting()).count() as u64;
@@ -208,17 +209,17 @@
     }
 
     /// Minimum number of workers for the lasting tasks of a pool, as their steps limit the tasks on one worker.
-    fn min_workers(&self, pool: &PoolName) -> u64 {
+    fn min_workers(&self, pool: &PoolName, largest: &Resources) -> u64 {
         let jobs = self.jobs.values().filter(|j| !j.state.is_final() && self.pool_of(&j.spec) == pool);
-        let steps = jobs.flat_map(|j| &j.spec.steps).filter(|s| s.lasting);
+        let steps = jobs.flat_map(|j| &j.spec.steps).filter(|s| s.lasting && s.reserved().fits(largest));
         steps.filter_map(|s| Some(u64::from(s.count.div_ceil(s.max_per_worker?)))).max().unwrap_or(0)
     }
 
     /// CPU that each pool uses or waits for, in thousandths of a core: the CPU that runs reserve on its workers, and
     /// the CPU that would process its waiting batch tasks within [`BACKLOG_HORIZON`]. Waiting lasting tasks count with
     /// the CPU that they reserve. Waiting batch tasks of jobs that exceed the share of their team or are too late to be
-    /// of use are not counted, so no VM is added for them.
-    fn pool_loads(&self, now: MonoTime) -> Map<PoolName, u64> {
+    /// of use are not counted, nor are tasks that fit on no VM, so no VM is added for them.
+    fn pool_loads(&self, now: MonoTime, largest: &Resources) -> Map<PoolName, u64> {
         let mut loads: Map<PoolName, u64> = self.policy.queues.values().map(|q| (q.pool.clone(), 0)).collect();
         for worker in self.workers.values() {
             *loads.entry(worker.report.pool.clone()).or_default() += worker.used.cpu;
@@ -232,7 +233,7 @@
                     }
                     let spec = &job.spec.steps[s];
                     let is_demand = !job.is_over_share && job.lateness(now, o) != Lateness::Useless;
-                    if !spec.lasting && !is_demand {
+                    if (!spec.lasting && !is_demand) || !spec.reserved().fits(largest) {
                         continue;
                     }
                     let count = step.tasks.iter().filter(|t| t.is_waiting()).count() as u64;
@@ -251,18 +252,18 @@
         &self,
         now: MonoTime,
         balance: &mut BalanceState,
-        capacity: u64,
+        largest: &Resources,
         have: &Map<PoolName, u64>,
     ) -> Map<PoolName, Need> {
         let mut needs = Map::default();
-        let loads = self.pool_loads(now);
+        let loads = self.pool_loads(now, largest);
         let pools = loads.keys().filter(|pool| Some(*pool) != self.policy.standby.as_ref()).count().max(1) as u64;
         let total: u64 = have.values().sum();
         let standby_floor = (total * STANDBY_FLOOR_PERCENT / 100).div_ceil(pools);
         for (pool, load) in loads {
             let load = load.max(self.arrivals.cpu_of(now, &pool));
-            let mut need = load.div_ceil(capacity).max(self.min_workers(&pool));
-            let waiting = self.count_waiting_lasting(&pool);
+            let mut need = load.div_ceil(largest.cpu).max(self.min_workers(&pool, largest));
+            let waiting = self.count_waiting_lasting(&pool, largest);
             if waiting > 0 {
                 // Their steps may limit the tasks on one worker, so free capacity on the present workers may not help
                 // them.
--- a/crates/core/src/sched/evacuation.rs
+++ b/crates/core/src/sched/evacuation.rs
@@ -74,7 +74,7 @@
             let free = slots.entry(pool).or_insert_with_key(|pool| self.collect_slots(now, pool));
             let counts = self.count_runs_by_worker(&name.job, name.occurrence as usize, name.step as usize);
             if let Some(at) = self.choose_slot(free, &step, &name, &counts) {
-                free[at].free -= step.reserved();
+                free[at].take(&step);
                 self.order_stop(now, &name, number, "data centre is evacuated");
             }
         }
--- a/crates/core/src/sched/graph.rs
+++ b/crates/core/src/sched/graph.rs
@@ -91,6 +91,16 @@
             && self.accelerators <= available.accelerators
     }
 
+    /// The larger amount of each resource.
+    #[must_use]
+    pub fn max(&self, other: &Self) -> Self {
+        Self {
+            cpu: self.cpu.max(other.cpu),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// These resources minus `used`, or zero where more is used.
     #[must_use]
     pub const fn without(&self, used: &Self) -> Self {
--- a/crates/core/src/sched/plan.rs
+++ b/crates/core/src/sched/plan.rs
@@ -28,11 +28,23 @@
 pub(super) struct Slot {
     worker: WorkerKey,
     pub(super) free: Resources,
+    /// Resources that are free once all tasks have ended that end by themselves.
+    free_beside_lasting: Resources,
     failures: u32,
     serving: u32,
     best_effort: u32,
 }
 
+impl Slot {
+    /// Reserves the resources of a task.
+    pub(super) fn take(&mut self, spec: &Step) {
+        self.free -= spec.reserved();
+        if spec.lasting {
+            self.free_beside_lasting -= spec.reserved();
+        }
+    }
+}
+
 /// Steps with waiting tasks, in the order in which they are placed.
 type Candidates = Vec<(Rank, JobKey, usize, usize)>;
 
@@ -100,6 +112,7 @@
             .map(|w| Slot {
                 worker: w.report.key.clone(),
                 free: w.free(),
+                free_beside_lasting: w.free_beside_lasting(),
                 failures: w.failures(),
                 serving: w.serving,
                 best_effort: w.best_effort,
@@ -163,17 +176,16 @@
             }
             let name = task_name(key, occurrence, step, index);
             let Some(at) = self.choose_slot(slots, spec, &name, &counts) else {
-                if spec.lasting {
-                    // One worker is removed from the list for the rest of this plan, so that no smaller tasks take its
-                    // free resources and they add up until the task fits. For a step that needs advice, the list holds
-                    // only the workers that the step may run on, and later steps may still use the removed worker.
-                    reserve_slot(slots, spec);
+                // One worker is removed from the list for the rest of this plan, so that no smaller tasks take its free
+                // resources and they add up until the task fits. For a step that needs advice, the list holds only the
+                // workers that the step may run on, and later steps may still use the removed worker.
+                if spec.lasting && self.reserve_slot(slots, spec, &counts) {
                     continue;
                 }
                 return;
             };
             let worker = slots[at].worker.clone();
-            slots[at].free -= spec.reserved();
+            slots[at].take(spec);
             slots[at].serving += u32::from(spec.target.is_some());
             slots[at].best_effort += u32::from(spec.fills);
             *counts.entry(worker.clone()).or_default() += 1;
@@ -220,14 +232,14 @@
                 let name = task_name(key, occurrence, step, index);
                 let Some(at) = self.choose_slot(&trial, spec, &name, &counts) else { break };
                 let worker = trial[at].worker.clone();
-                trial[at].free -= spec.reserved();
+                trial[at].take(spec);
                 *counts.entry(worker.clone()).or_insert(0u32) += 1;
                 chosen.push((name, worker));
             }
             if chosen.len() == size {
                 for (name, worker) in chosen {
                     if let Some(slot) = slots.iter_mut().find(|s| s.worker == worker) {
-                        slot.free -= spec.reserved();
+                        slot.take(spec);
                     }
                     self.start_run(now, &name, &worker, Some(last_run));
                 }
@@ -265,14 +277,7 @@
             .map(|t| t.avoided_workers.as_slice())
             .unwrap_or_default();
         let size = spec.reserved();
-        let fits = |slot: &Slot| {
-            let on_worker = counts.get(&slot.worker).copied().unwrap_or(0);
-            let has_label = spec
-                .required_label
-                .as_ref()
-                .is_none_or(|l| self.workers.get(&slot.worker).is_some_and(|w| w.has_label(l)));
-            size.fits(&slot.free) && spec.max_per_worker.is_none_or(|limit| on_worker < limit) && has_label
-        };
+        let fits = |slot: &Slot| size.fits(&slot.free) && self.may_run_on(slot, spec, counts);
         let score = |slot: &Slot| {
             let is_far = spec
                 .data_rack
@@ -294,6 +299,27 @@
         candidates.min_by_key(|(_, slot)| score(slot)).map(|(at, _)| at)
     }
 
+    /// Whether the label and the limit of tasks on one worker let a task of a step run on a slot.
+    fn may_run_on(&self, slot: &Slot, spec: &Step, counts: &Map<WorkerKey, u32>) -> bool {
+        let on_worker = counts.get(&slot.worker).copied().unwrap_or(0);
+        let has_label = |label| self.workers.get(&slot.worker).is_some_and(|w| w.has_label(label));
+        spec.max_per_worker.is_none_or(|limit| on_worker < limit) && spec.required_label.as_ref().is_none_or(has_label)
+    }
+
+    /// Removes the worker with the most free CPU that a lasting step can use from a list, of those on which a task of the
+    /// step fits once the tasks have ended that end by themselves. Returns false if there is none, as a reservation would
+    /// keep other tasks waiting for ever.
+    fn reserve_slot(&self, slots: &mut Vec<Slot>, spec: &Step, counts: &Map<WorkerKey, u32>) -> bool {
+        let size = spec.reserved();
+        let may_fit = |slot: &Slot| size.fits(&slot.free_beside_lasting) && self.may_run_on(slot, spec, counts);
+        let suitable = slots.iter().enumerate().filter(|(_, slot)| may_fit(slot));
+        let Some(at) = suitable.max_by_key(|(_, s)| s.free.cpu.min(spec.size.cpu)).map(|(at, _)| at) else {
+            return false;
+        };
+        slots.remove(at);
+        true
+    }
+
     fn fits_team_ceiling(&self, key: &JobKey, spec: &Step) -> bool {
         self.fits_team_ceiling_for(key, spec, 1)
     }
@@ -368,19 +394,7 @@
 
 /// The most of each resource that is free on any one slot. What does not fit into it fits on no slot.
 fn most_free(slots: &[Slot]) -> Resources {
-    slots.iter().fold(Resources::default(), |most, slot| Resources {
-        cpu: most.cpu.max(slot.free.cpu),
-        memory_mb: most.memory_mb.max(slot.free.memory_mb),
-        accelerators: most.accelerators.max(slot.free.accelerators),
-    })
-}
-
-/// Removes the worker with the most free CPU that the step can use from a list.
-fn reserve_slot(slots: &mut Vec<Slot>, spec: &Step) {
-    let emptiest = slots.iter().enumerate().max_by_key(|(_, s)| s.free.cpu.min(spec.size.cpu)).map(|(at, _)| at);
-    if let Some(at) = emptiest {
-        slots.remove(at);
-    }
+    slots.iter().fold(Resources::default(), |most, slot| most.max(&slot.free))
 }
 
 fn saturating_u32(at: usize) -> u32 {
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -69,6 +69,8 @@
     pub has_orphans: bool,
     /// Resources of the runs that are or may be there.
     pub used: Resources,
+    /// The part of `used` that belongs to lasting tasks, which don't end by themselves.
+    pub used_by_lasting: Resources,
     /// Runs that are or may be there, by task.
     pub runs: Map<TaskName, u32>,
     /// Number of its runs that serve users.
@@ -111,6 +113,7 @@
             is_in_recovery_set: false,
             has_orphans: false,
             used: Resources::default(),
+            used_by_lasting: Resources::default(),
             runs: Map::default(),
             serving: 0,
             best_effort: 0,
@@ -134,6 +137,12 @@
         self.report.capacity.without(&self.used)
     }
 
+    /// Resources that are free once all tasks have ended that end by themselves.
+    #[must_use]
+    pub const fn free_beside_lasting(&self) -> Resources {
+        self.report.capacity.without(&self.used_by_lasting)
+    }
+
     /// Whether it has a label.
     #[must_use]
     pub fn has_label(&self, label: &SmolStr) -> bool {
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -3,6 +3,7 @@
 mod capacity;
 mod directory;
 mod evacuation;
+mod hopeless;
 mod lifecycle;
 mod model;
 mod overlap;
