--- a/crates/core/benches/plan.rs
+++ b/crates/core/benches/plan.rs
@@ -64,6 +64,7 @@
         steps: vec![Step { count: TASKS_PER_JOB, size, estimate: Millis(800), ..Step::default() }],
         schedule: None,
         accepted: WallTime(1_000_000),
+        rules: QueuePolicy::default(),
     }
 }
 
--- a/crates/core/src/sched/graph.rs
+++ b/crates/core/src/sched/graph.rs
@@ -9,6 +9,7 @@
 use snafu::{OptionExt, Snafu};
 
 use crate::finding::Findings;
+use crate::sched::policy::QueuePolicy;
 use crate::units::{Millis, WallTime};
 
 macro_rules! text_id {
@@ -185,7 +186,7 @@
 }
 
 /// A job as it was accepted.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
     /// Queue.
     pub queue: QueueName,
@@ -201,6 +202,9 @@
     pub schedule: Option<Schedule>,
     /// Time of acceptance.
     pub accepted: WallTime,
+    /// Rules of the queue at acceptance, which hold if the queue is removed from the configuration.
+    #[serde(default)]
+    pub rules: QueuePolicy,
 }
 
 impl JobSpec {
--- a/crates/core/src/sched/plan.rs
+++ b/crates/core/src/sched/plan.rs
@@ -92,7 +92,7 @@
                 let deadline = occurrence.due + job.objective;
                 let spec = &job.spec.steps[s];
                 let is_lasting = spec.lasting;
-                let priority = self.policy.queues.get(&job.spec.queue).map_or(1, |q| q.priority);
+                let priority = self.policy.rules_of(&job.spec).priority;
                 let rank = Rank {
                     is_batch: !is_lasting,
                     is_over_share: !is_lasting && job.is_over_share,
@@ -129,8 +129,7 @@
     fn place_step(&mut self, now: MonoTime, slots: &mut Vec<Slot>, key: &JobKey, occurrence: usize, step: usize) {
         let Some(job) = self.jobs.get(key) else { return };
         let Some(spec) = job.spec.steps.get(step).cloned() else { return };
-        let queue = job.spec.queue.clone();
-        let tickets = if self.policy.queues.get(&queue).is_some_and(|q| q.needs_advice) {
+        let tickets = if self.policy.rules_of(&job.spec).needs_advice {
             let name =
                 StepName { job: key.clone(), occurrence: saturating_u32(occurrence), step: saturating_u32(step) };
             let with_capacity: Vec<WorkerKey> =
--- a/crates/core/src/sched/policy.rs
+++ b/crates/core/src/sched/policy.rs
@@ -1,13 +1,18 @@
 //! Configuration and limits of the platform, as far as the scheduler needs them.
 
+use serde::{Deserialize, Serialize};
+
 use crate::map::Map;
-use crate::sched::graph::{PoolName, QueueName, Resources, TeamName};
+use crate::sched::graph::{JobSpec, PoolName, QueueName, Resources, TeamName};
 use crate::units::Millis;
 
 /// Rules of a queue.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct QueuePolicy {
-    /// Pool that runs the queue's tasks.
+    /// Pool that runs the queue's tasks. It is stored as [`JobSpec::pool`].
+    ///
+    /// [`JobSpec::pool`]: crate::sched::graph::JobSpec::pool
+    #[serde(skip)]
     pub pool: PoolName,
     /// Priority; 0 comes first.
     pub priority: u32,
@@ -23,7 +28,7 @@
 
 impl Default for QueuePolicy {
     fn default() -> Self {
-        // Used for jobs whose queue was removed from the configuration.
+        // Used for jobs of earlier versions, whose records lack the rules, once their queue was removed.
         Self {
             pool: PoolName::default(),
             priority: 1,
@@ -57,6 +62,14 @@
     pub standby: Option<PoolName>,
 }
 
+impl Policy {
+    /// Rules of a job: those of its queue, or the last known ones if the queue is gone.
+    #[must_use]
+    pub fn rules_of<'a>(&'a self, spec: &'a JobSpec) -> &'a QueuePolicy {
+        self.queues.get(&spec.queue).unwrap_or(&spec.rules)
+    }
+}
+
 /// Limits of the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
--- a/crates/core/src/sched/progress.rs
+++ b/crates/core/src/sched/progress.rs
@@ -30,7 +30,7 @@
 }
 
 /// Record of a job in the store.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "record", rename_all = "snake_case")]
 pub enum JobRecord {
     /// It has been accepted and may still run.
--- a/crates/core/src/sched/runs.rs
+++ b/crates/core/src/sched/runs.rs
@@ -124,7 +124,7 @@
 
     fn record_failed_run(&mut self, name: &TaskName, number: u32, worker: &WorkerKey) {
         let Some(job) = self.jobs.get(&name.job) else { return };
-        let max_attempts = self.queue_policy(&job.spec.queue).max_attempts.max(1) as usize;
+        let max_attempts = self.policy.rules_of(&job.spec).max_attempts.max(1) as usize;
         let Some(task) = self.jobs.get_mut(&name.job).and_then(|j| j.task_mut(name)) else { return };
         task.failed_runs.push(number);
         if !task.avoided_workers.contains(worker) {
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -145,10 +145,17 @@
     /// Applies a configuration if it is newer than the present one.
     pub fn set_policy(&mut self, policy: Arc<Policy>) {
         if policy.version > self.policy.version {
+            let old = std::mem::replace(&mut self.policy, policy);
             for job in self.jobs.values_mut() {
-                job.objective = objective(&policy, &job.spec);
+                let spec = &mut job.spec;
+                if !self.policy.queues.contains_key(&spec.queue)
+                    && let Some(last) = old.queues.get(&spec.queue)
+                {
+                    spec.rules = last.clone();
+                    spec.pool = last.pool.clone();
+                }
+                job.objective = objective(self.policy.rules_of(spec), spec);
             }
-            self.policy = policy;
         }
     }
 
@@ -161,7 +168,7 @@
         let mut job = Job::new(key.clone(), spec, progress);
         job.is_inherited = is_inherited;
         job.is_over_share = !self.consume_share(&job);
-        job.objective = objective(&self.policy, &job.spec);
+        job.objective = objective(self.policy.rules_of(&job.spec), &job.spec);
         job.add_due(now.mono, now.wall);
         if !is_inherited && !job.is_over_share && !job.is_lasting() && job.spec.schedule.is_none() {
             let pool = self.pool_of(&job.spec).clone();
@@ -328,16 +335,12 @@
         std::mem::take(&mut self.events)
     }
 
-    /// Pool that runs a job's tasks at present: that of its queue, or the one at acceptance if the queue is gone.
+    /// Pool that runs a job's tasks at present: that of its queue, or the last known one if the queue is gone.
     #[must_use]
     pub fn pool_of<'a>(&'a self, spec: &'a JobSpec) -> &'a PoolName {
         self.policy.queues.get(&spec.queue).map_or(&spec.pool, |q| &q.pool)
     }
 
-    pub(super) fn queue_policy(&self, queue: &QueueName) -> QueuePolicy {
-        self.policy.queues.get(queue).cloned().unwrap_or_default()
-    }
-
     /// Returns a run that is or may be on a worker.
     pub(super) fn run(&self, name: &TaskName, number: u32) -> Option<&Run> {
         self.jobs.get(&name.job)?.task(name)?.runs.iter().find(|r| r.number == number)
@@ -406,9 +409,7 @@
     }
 }
 
-fn objective(policy: &Policy, spec: &JobSpec) -> Millis {
-    let default = QueuePolicy::default();
-    let queue = policy.queues.get(&spec.queue).unwrap_or(&default);
+fn objective(rules: &QueuePolicy, spec: &JobSpec) -> Millis {
     // Chains last seconds to hours, far below the 2^53 ms that an f64 represents exactly.
-    Millis((spec.longest_chain().0 as f64 * queue.stretch) as u64) + queue.allowance
+    Millis((spec.longest_chain().0 as f64 * rules.stretch) as u64) + rules.allowance
 }
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -9,5 +9,6 @@
 mod overlap;
 mod peaks;
 mod random;
+mod removed_queues;
 mod restarts;
 mod takeover;
--- a/crates/core/tests/sched/model.rs
+++ b/crates/core/tests/sched/model.rs
@@ -210,17 +210,20 @@
     is_fenced: bool,
 }
 
-pub fn policy() -> Policy {
-    let mut policy = Policy { version: 1, ..Policy::default() };
-    let rules = QueuePolicy {
+pub fn rules() -> QueuePolicy {
+    QueuePolicy {
         pool: PoolName::new("p"),
         priority: 0,
         max_attempts: 2,
         stretch: 2.0,
         allowance: Millis(500),
         needs_advice: false,
-    };
-    policy.queues.insert(QueueName::new("q"), rules);
+    }
+}
+
+pub fn policy() -> Policy {
+    let mut policy = Policy { version: 1, ..Policy::default() };
+    policy.queues.insert(QueueName::new("q"), rules());
     let ceiling = Resources { cpu: 8_000, ..Resources::default() };
     policy.teams.insert(TeamName::new("t"), TeamPolicy { jobs_per_1000_secs: 1_000, ceiling });
     policy
@@ -253,6 +256,7 @@
         steps,
         schedule: None,
         accepted: WallTime(START_MS),
+        rules: rules(),
     }
 }
 
--- /dev/null
+++ b/crates/core/tests/sched/removed_queues.rs
@@ -0,0 +1,57 @@
+//! Jobs whose queue is removed from the configuration keep its rules.
+
+use std::sync::Arc;
+
+use carawaybarrow_core::sched::graph::QueueName;
+use carawaybarrow_core::sched::policy::Policy;
+use carawaybarrow_core::sched::progress::JobState;
+
+use super::model::{Model, job, policy, rules, step};
+
+/// Configuration in which the queue allows `max_attempts`, or does not exist.
+fn policy_with(version: u64, max_attempts: Option<u32>) -> Arc<Policy> {
+    let mut policy = Policy { version, ..policy() };
+    policy.queues.clear();
+    if let Some(max_attempts) = max_attempts {
+        let rules = carawaybarrow_core::sched::policy::QueuePolicy { max_attempts, ..rules() };
+        policy.queues.insert(QueueName::new("q"), rules);
+    }
+    Arc::new(policy)
+}
+
+/// Number of failed runs after which a job fails whose queue allowed `accepted` attempts at acceptance and `last`
+/// attempts before it was removed. `has_takeover` tells whether only a later scheduler sees the runs fail.
+fn count_attempts(accepted: u32, last: u32, has_takeover: bool) -> u32 {
+    let mut model = Model::new(4);
+    (0..4).for_each(|number| model.worker_mut(number).fails_tasks = true);
+    let mut spec = job(vec![step(1, 1_000)]);
+    spec.rules.max_attempts = accepted;
+    model.scheduler.set_policy(policy_with(2, Some(last)));
+    model.accept("j", spec);
+    model.run_for(100);
+    model.policy = policy_with(3, None);
+    model.scheduler.set_policy(Arc::clone(&model.policy));
+    if has_takeover {
+        model.replace_scheduler();
+    }
+    model.run_for(60_000);
+    assert_eq!(model.state("j"), Some(JobState::Failed));
+    model.failed.values().sum()
+}
+
+/// Guards against a job that fails before its attempts are used up, or is started more often than its queue allowed,
+/// because default rules replace those of a queue that was removed. Seen in review/5.
+#[test]
+fn job_keeps_the_attempts_of_its_removed_queue() {
+    for attempts in [2, 3, 4, 5] {
+        assert_eq!(count_attempts(attempts, attempts, false), attempts);
+        assert_eq!(count_attempts(attempts, attempts, true), attempts, "after a takeover");
+    }
+}
+
+/// Guards against the rules at acceptance, which are older than those in force when the queue was removed.
+#[test]
+fn last_rules_of_a_removed_queue_replace_those_at_acceptance() {
+    assert_eq!(count_attempts(2, 4, false), 4);
+    assert_eq!(count_attempts(5, 2, false), 2);
+}
