Let odd entries among the workers hold up nobody

With a report left in the store whose address nobody answers, a new job after a scheduler's kill waited for the leases of a worker that does not exist: the recovery set named every listed worker.

The recovery set names only workers that have answered, and is stored by a task of its own after a first answer. A worker replaces another with its address or VM only once it has answered. A job record that can't be read is left out instead of ending each new term.

Ruled out: deep nesting, large numbers and ports out of range end no process and no watch; they are passed over.

--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -135,6 +135,7 @@
         task::spawn(job_writer::expire_jobs(Arc::clone(&term)));
         task::spawn(store_watches::watch_jobs(Arc::clone(&term)));
         task::spawn(store_watches::watch_workers(Arc::clone(&term)));
+        task::spawn(store_watches::store_recovery_sets(Arc::clone(&term)));
         task::spawn(store_watches::watch_evacuations(Arc::clone(&term)));
         task::spawn(vm_orders::run(Arc::clone(&term)));
         task::spawn(worker_polls::tick(Arc::clone(&term)));
@@ -306,11 +307,12 @@
         let Some(value) = &item.value else { continue };
         match records::parse_job_key(&item.key) {
             Some(JobItem::Cancel(job)) => cancelled.push(job),
-            Some(JobItem::Record(job)) => match records::decode::<JobRecord>(value)? {
-                JobRecord::Accepted(spec) => {
+            Some(JobItem::Record(job)) => match records::decode::<JobRecord>(value) {
+                Ok(JobRecord::Accepted(spec)) => {
                     accepted.push((spec.accepted, job, spec, item.created < term.revision));
                 }
-                JobRecord::Ended { state, at, .. } => term.with(|s| s.add_ended(job, state, at)),
+                Ok(JobRecord::Ended { state, at, .. }) => term.with(|s| s.add_ended(job, state, at)),
+                Err(e) => log::error!(job:% = job, error:% = e; "the record of a job can't be read; the job is left out"),
             },
             None => log::warn!(key:% = item.key; "the store returned a key without the prefix of jobs"),
         }
--- a/crates/carawaybarrow/src/node/store_watches.rs
+++ b/crates/carawaybarrow/src/node/store_watches.rs
@@ -45,6 +45,9 @@
 /// that is still listed.
 const REFRESH_INTERVAL: Millis = Millis(1_000);
 
+/// Pause after a write of the recovery set, so that one write serves several new workers.
+const RECOVERY_SET_PAUSE: Duration = Duration::from_millis(100);
+
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -119,7 +122,6 @@
 /// Applies changes of the workers' reports until the term ends, and starts the polls of new workers.
 pub async fn watch_workers(term: Arc<Term>) {
     let mut directory = Directory::new(view::now().mono);
-    let mut recovery_set_revision = None;
     let mut after = None;
     let mut refreshed_at = MonoTime(0);
     while !term.is_ended() {
@@ -147,9 +149,7 @@
         if let Some(policy) = term.view.configuration().map(|c| Arc::clone(&c.policy)) {
             term.with(|s| s.set_policy(policy));
         }
-        if term.with(|s| s.is_recovery_set_outdated()) {
-            store_recovery_set(&term, &mut recovery_set_revision).await;
-        }
+        term.request_recovery_set();
         term.request_plan();
         task::sleep(WORKER_WATCH_PAUSE).await;
     }
@@ -217,7 +217,23 @@
     }
 }
 
-/// Stores the recovery set. A run starts only on a worker of the stored set, so that the next scheduler knows of it.
+/// Stores the recovery set when it is outdated, until the term ends. A run starts only on a worker of the stored set, so
+/// that the next scheduler knows of it.
+pub async fn store_recovery_sets(term: Arc<Term>) {
+    let mut revision = None;
+    loop {
+        term.wait_for_recovery_set().await;
+        if term.is_ended() {
+            return;
+        }
+        if term.with(|s| s.is_recovery_set_outdated()) {
+            store_recovery_set(&term, &mut revision).await;
+            term.request_plan();
+            task::sleep(RECOVERY_SET_PAUSE).await;
+        }
+    }
+}
+
 async fn store_recovery_set(term: &Arc<Term>, revision: &mut Option<StoreRevision>) {
     if revision.is_none() {
         *revision = match term.view.store.get(RECOVERY_SET_KEY, STORE_TIMEOUT).await {
--- a/crates/carawaybarrow/src/node/term.rs
+++ b/crates/carawaybarrow/src/node/term.rs
@@ -82,6 +82,7 @@
     renewed_at: AtomicU64,
     write_notify: Notify,
     plan_notify: Notify,
+    recovery_set_notify: Notify,
 }
 
 impl Term {
@@ -114,6 +115,7 @@
             renewed_at: AtomicU64::new(view::now().mono.0),
             write_notify: Notify::new(),
             plan_notify: Notify::new(),
+            recovery_set_notify: Notify::new(),
         }
     }
 
@@ -175,7 +177,7 @@
         self.ended.load(Ordering::SeqCst)
     }
 
-    /// Ends the term, and wakes the planner and the writers so that they return.
+    /// Ends the term, and wakes the planner and all writers so that they return.
     pub fn end(&self, reason: &str) {
         if !self.ended.swap(true, Ordering::SeqCst) {
             log::warn!(term = self.owner.term, token = self.revision.0, reason = reason; "term ended");
@@ -183,6 +185,7 @@
         }
         self.write_notify.notify();
         self.plan_notify.notify();
+        self.recovery_set_notify.notify();
     }
 
     /// Waits until there are changes to store, or the term ends.
@@ -190,6 +193,16 @@
         self.write_notify.wait().await;
     }
 
+    /// Requests that the recovery set is stored if it is outdated.
+    pub fn request_recovery_set(&self) {
+        self.recovery_set_notify.notify();
+    }
+
+    /// Waits until the recovery set may be outdated, or the term ends.
+    pub async fn wait_for_recovery_set(&self) {
+        self.recovery_set_notify.wait().await;
+    }
+
     /// Wakes another writer, which stores changes or returns if the term has ended.
     pub fn wake_writer(&self) {
         self.write_notify.notify();
--- a/crates/carawaybarrow/src/node/worker_polls.rs
+++ b/crates/carawaybarrow/src/node/worker_polls.rs
@@ -47,6 +47,9 @@
                     s.apply_lists(view::now(), &worker, sent, lists);
                     is_first_answer
                 });
+                if is_first_answer {
+                    term.request_recovery_set();
+                }
                 if has_ends || is_first_answer {
                     term.request_plan();
                 }
--- a/crates/carawaybarrow/tests/installation/mod.rs
+++ b/crates/carawaybarrow/tests/installation/mod.rs
@@ -84,6 +84,11 @@
         assert!(status.is_ok(), "the signal can be sent");
     }
 
+    /// Whether the process runs.
+    pub fn is_running(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
     /// Kills the process, if it runs.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -165,6 +170,12 @@
         self.entries.iter().map(|e| e.lock().expect("the lock is not poisoned").address).collect()
     }
 
+    /// Index of the entry that schedules, according to the store.
+    pub fn scheduler(&self) -> Option<usize> {
+        let owner = self.store.read("scheduler/owner")?;
+        owner["entry"].as_str()?.trim_start_matches('e').parse().ok()
+    }
+
     /// Ends all faults that still last. Entries that are down are restarted by the task of their fault.
     pub fn end_faults(&self) {
         self.store.set_fault(store::Fault::None);
--- a/crates/core/src/sched/answers.rs
+++ b/crates/core/src/sched/answers.rs
@@ -40,7 +40,9 @@
                 run.confirmed_at < sent && !listed.contains(&(name.clone(), run.number))
             });
         }
+        let mut is_first_answer = false;
         if let Some(worker) = self.workers.get_mut(key) {
+            is_first_answer = !worker.refuses_earlier_terms;
             if std::mem::take(&mut worker.is_gone) {
                 worker.is_listed = true;
             }
@@ -56,6 +58,9 @@
         }
         self.unreconciled.remove(key);
         self.check_reconciled(now.mono);
+        if is_first_answer {
+            self.drop_replaced(now.mono);
+        }
     }
 
     /// Drops all runs of a worker whose id nobody has any more: it was replaced, or its VM is gone. Another worker
--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -43,9 +43,14 @@
         self.drop_replaced(now);
     }
 
-    /// Drops workers whose VM or address another worker has now, as they no longer run.
-    fn drop_replaced(&mut self, now: MonoTime) {
-        let listed: Vec<&WorkerReport> = self.workers.values().filter(|w| w.is_listed).map(|w| &w.report).collect();
+    /// Drops unlisted workers whose VM or address another worker has now, as they no longer run. The other worker must
+    /// have answered, as a report may be wrong.
+    pub(super) fn drop_replaced(&mut self, now: MonoTime) {
+        if self.workers.values().all(|w| w.is_listed) {
+            return;
+        }
+        let has_answered = |w: &&Worker| w.is_listed && w.refuses_earlier_terms;
+        let listed: Vec<&WorkerReport> = self.workers.values().filter(has_answered).map(|w| &w.report).collect();
         let is_replaced = |old: &WorkerReport| {
             listed.iter().any(|new| {
                 let same_vm = new.vm.is_some() && new.vm == old.vm;
@@ -149,18 +154,19 @@
             || !self.unreconciled.iter().any(|key| self.workers.get(key).is_some_and(|w| w.report.pool == *pool))
     }
 
-    /// Whether the stored recovery set must be written again: it lacks a schedulable worker, or names some needlessly.
+    /// Whether the stored recovery set must be written again: it lacks a worker that can get tasks, or names some
+    /// needlessly.
     #[must_use]
     pub fn is_recovery_set_outdated(&self) -> bool {
-        let is_missing = self.workers.values().any(|w| w.is_schedulable() && !w.is_in_recovery_set);
+        let is_missing = self.workers.values().any(|w| w.is_available() && !w.is_in_recovery_set);
         let needed = self.workers.values().filter(|w| self.belongs_to_recovery_set(w)).count();
         is_missing || (self.is_reconciled && self.recovery_set_size > needed)
     }
 
-    /// Whether the next scheduler has to know of a worker. Workers without runs that are cordoned or shutting down are
-    /// left out, because it would wait for them.
+    /// Whether the next scheduler has to know of a worker. Workers without runs that are cordoned or shutting down, or
+    /// have never answered, are left out, because it would wait for them.
     fn belongs_to_recovery_set(&self, worker: &Worker) -> bool {
-        worker.is_schedulable() || !worker.runs.is_empty() || self.unreconciled.contains(&worker.report.key)
+        worker.is_available() || !worker.runs.is_empty() || self.unreconciled.contains(&worker.report.key)
     }
 
     /// Recovery set to store. The other workers get no runs from now on, as the stored set may no longer name them.
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -162,6 +162,12 @@
         self.is_listed && !self.is_cordoned && !self.must_get_no_starts()
     }
 
+    /// Whether it is schedulable and has answered this scheduler.
+    #[must_use]
+    pub const fn is_available(&self) -> bool {
+        self.is_schedulable() && self.refuses_earlier_terms
+    }
+
     /// Whether it is shutting down or its data centre is evacuated. An order to start a task must not be repeated then.
     #[must_use]
     pub const fn must_get_no_starts(&self) -> bool {
@@ -171,8 +177,7 @@
     /// Whether new tasks may start on it now.
     #[must_use]
     pub fn accepts_tasks(&self, now: MonoTime) -> bool {
-        self.is_schedulable()
-            && self.refuses_earlier_terms
+        self.is_available()
             && self.is_in_recovery_set
             && !self.has_orphans
             && self.is_reachable(now)
