End the term of a scheduler that is cut off from the store

A scheduler without the store went on until a worker refused its token; its successor assumed that it stops within 2 s.

A 409 to a request for relief now ends the term, and is sent also by entries that have just regained the store. A new scheduler tells its predecessor, which the store names in scheduler/last, that its term is over. A scheduler that gets no answer from any of the entries that it asks ends its term. Relief is asked of three entries at a time, of others in each round.

--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -15,10 +15,10 @@
 use carawaybarrow_platform::store::{Change, ChangeOutcome, Item, LeaseId, StoreError, StoreRevision};
 use snafu::Snafu;
 
-use crate::node::peers::SchedulerClient;
+use crate::node::peers::{ReliefOutcome, SchedulerClient};
 use crate::node::records::{
-    self, JOB_PREFIX, JobItem, Owner, PROGRESS_PREFIX, RECOVERY_SET_KEY, RELEASED_TERM_KEY, SCHEDULER_KEY,
-    TERM_COUNT_KEY,
+    self, JOB_PREFIX, JobItem, LAST_SCHEDULER_KEY, Owner, PROGRESS_PREFIX, RECOVERY_SET_KEY, RELEASED_TERM_KEY,
+    SCHEDULER_KEY, TERM_COUNT_KEY,
 };
 use crate::node::term::Term;
 use crate::node::view::{self, View};
@@ -35,7 +35,7 @@
 const RENEW_RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Failed renewals in a row after which the scheduler asks another entry to take over.
-const FAILURES_BEFORE_RELIEF: u32 = 2;
+const FAILURES_BEFORE_RELIEF: usize = 2;
 
 /// Time for an answer of the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -79,7 +79,7 @@
             let since = *vacant_since.get_or_insert(now);
             if view.takeover_delay().is_some_and(|delay| now.since(since) >= delay) {
                 match try_begin_term(&view, incarnation).await {
-                    Ok(Some(term)) => run_term(term, Arc::clone(&scheduler)),
+                    Ok(Some((term, earlier))) => run_term(term, Arc::clone(&scheduler), earlier),
                     Ok(None) => {}
                     Err(e) => log::warn!(error:% = e; "can't begin a term"),
                 }
@@ -117,9 +117,13 @@
     end_lease(term).await;
 }
 
-fn run_term(term: Arc<Term>, scheduler: Arc<SchedulerClient>) {
+fn run_term(term: Arc<Term>, scheduler: Arc<SchedulerClient>, earlier: Option<Owner>) {
     log::info!(term = term.owner.term, token = term.revision.0; "term begun");
     term.view.set_term(Some(Arc::clone(&term)));
+    if let Some(earlier) = earlier.filter(|o| o.entry != term.owner.entry) {
+        let (scheduler, term) = (Arc::clone(&scheduler), Arc::clone(&term));
+        task::spawn(async move { scheduler.depose(&earlier, &term).await });
+    }
     task::spawn(renew(Arc::clone(&term), scheduler));
     task::spawn(async move {
         if let Err(e) = load_jobs(&term).await {
@@ -164,8 +168,12 @@
     }
 }
 
-/// Acquires the scheduler's lease and key. Returns `None` if another entry was faster.
-async fn try_begin_term(view: &Arc<View>, incarnation: u64) -> Result<Option<Arc<Term>>, ElectionError> {
+/// Acquires the scheduler's lease and key. Returns the term and the scheduler of the term before it; `None` if another
+/// entry was faster.
+async fn try_begin_term(
+    view: &Arc<View>,
+    incarnation: u64,
+) -> Result<Option<(Arc<Term>, Option<Owner>)>, ElectionError> {
     let store = &view.store;
     let terms = store.get(TERM_COUNT_KEY, STORE_TIMEOUT).await?;
     let (count, terms_revision) = match &terms {
@@ -175,10 +183,16 @@
     // The caller begins a term only if there is no scheduler, or if the scheduler's key is of an earlier incarnation of
     // this entry. A known scheduler is therefore that incarnation.
     let is_own_stale_key = view.scheduler().is_some();
-    let released = match store.get(RELEASED_TERM_KEY, STORE_TIMEOUT).await? {
+    let (released, earlier) =
+        futures::try_join!(store.get(RELEASED_TERM_KEY, STORE_TIMEOUT), store.get(LAST_SCHEDULER_KEY, STORE_TIMEOUT))?;
+    let released = match released {
         Some(Item { value: Some(value), .. }) => Some(records::decode::<u32>(&value)?),
         _ => None,
     };
+    let earlier = match earlier {
+        Some(Item { value: Some(value), .. }) => Some(records::decode::<Owner>(&value)?),
+        _ => None,
+    };
     // A scheduler that recorded its release, or an earlier incarnation of this entry, gives no more VM orders.
     let may_order_vms_at_once = count == 0 || is_own_stale_key || released == Some(count - 1);
     let lease = store.grant_lease(TERM_LEASE.max(view.settings.min_store_lease.to_duration()), STORE_TIMEOUT).await?;
@@ -197,6 +211,7 @@
         puts: vec![
             (SCHEDULER_KEY.to_owned(), records::encode(&owner), Some(lease)),
             (TERM_COUNT_KEY.to_owned(), records::encode(&(count + 1)), None),
+            (LAST_SCHEDULER_KEY.to_owned(), records::encode(&owner), None),
         ],
         deletes: Vec::new(),
     };
@@ -227,7 +242,8 @@
     });
     let policy = view.configuration().map(|c| Arc::clone(&c.policy)).unwrap_or_default();
     let scheduler = Scheduler::new(FencingToken(revision.0), count, view.settings.bounds, policy);
-    Ok(Some(Arc::new(Term::new(owner, revision, lease, Arc::clone(view), scheduler, may_order_vms_at_once))))
+    let term = Term::new(owner, revision, lease, Arc::clone(view), scheduler, may_order_vms_at_once);
+    Ok(Some((Arc::new(term), earlier)))
 }
 
 async fn end_unused_lease(view: &View, lease: LeaseId) {
@@ -237,7 +253,7 @@
 }
 
 async fn renew(term: Arc<Term>, scheduler: Arc<SchedulerClient>) {
-    let mut failures = 0;
+    let mut failures: usize = 0;
     while !term.is_ended() {
         let sent = view::now().mono;
         match term.view.store.renew_lease(term.lease, STORE_TIMEOUT).await {
@@ -253,8 +269,13 @@
                 log::info!(error:% = e; "the scheduler's lease is not renewed");
                 failures += 1;
                 // Another entry that reaches the store can take over before the lease lapses.
-                if failures >= FAILURES_BEFORE_RELIEF && scheduler.request_relief(&term).await {
-                    return term.end("the store is lost and another entry takes over");
+                if let Some(round) = failures.checked_sub(FAILURES_BEFORE_RELIEF) {
+                    match scheduler.request_relief(&term, round).await {
+                        ReliefOutcome::Granted => return term.end("the store is lost and another entry takes over"),
+                        ReliefOutcome::Deposed => return term.end("another entry knows that the term is over"),
+                        ReliefOutcome::CutOff => return term.end("the store and the other entries are lost"),
+                        ReliefOutcome::Refused => {}
+                    }
                 }
                 task::sleep(RENEW_RETRY_PAUSE).await;
                 continue;
--- a/crates/carawaybarrow/src/node/peers.rs
+++ b/crates/carawaybarrow/src/node/peers.rs
@@ -1,17 +1,20 @@
 //! Calls to the entry that schedules, and their server.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use async_std::task;
 use carawaybarrow_core::sched::graph::{JobKey, QueueName};
 use carawaybarrow_core::sched::progress::{JobRecord, JobState};
+use carawaybarrow_core::units::Millis;
 use carawaybarrow_platform::store::LeaseId;
 use http_types::Method;
 use serde::{Deserialize, Serialize};
 use tide::{Request, Response, StatusCode};
 
-use crate::http_client::{Call, Client};
+use crate::http_client::{Call, CallError, Client};
 use crate::node::election;
 use crate::node::records::{self, Owner};
 use crate::node::term::Term;
@@ -27,9 +30,33 @@
 /// Time for an answer to a request for relief, which takes one call to the store.
 const RELIEF_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Number of entries that a scheduler asks for relief.
+/// Number of entries that a scheduler asks for relief at the same time.
 const RELIEF_ATTEMPTS: usize = 3;
 
+/// Age of a term from which another entry that knows a different scheduler knows a later one. It is longer than the age
+/// of what an entry knows that has just heard from the store.
+const MIN_DEPOSED_AGE: Millis = Millis(1_000);
+
+/// Time for which a new scheduler tells its predecessor that the earlier term is over. It covers the time in which the
+/// successor waits for workers that have not answered.
+const DEPOSE_LIMIT: Duration = Duration::from_secs(10);
+
+/// Pause before a call to a predecessor is repeated.
+const DEPOSE_PAUSE: Duration = Duration::from_millis(200);
+
+/// What other entries say about the term of a scheduler that has lost the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReliefOutcome {
+    /// One has ended the lease and takes over.
+    Granted,
+    /// One has just heard from the store that the term is over.
+    Deposed,
+    /// None answered, although at least one may run. The scheduler may be cut off, and another entry may take over.
+    CutOff,
+    /// Those that answered have lost the store too, or none runs.
+    Refused,
+}
+
 /// Request of a scheduler that has lost the store.
 #[derive(Debug, Serialize, Deserialize)]
 struct Relief {
@@ -122,22 +149,58 @@
         answer == "status 200"
     }
 
-    /// Asks strong entries to end the lease of a term whose scheduler has lost the store, and to take over. Returns
-    /// whether one has ended it. Without an answer, the term goes on until a worker refuses its token.
-    pub async fn request_relief(&self, term: &Term) -> bool {
+    /// Asks some of the strong entries to end the lease of a term whose scheduler has lost the store, and to take over.
+    /// Each `round` asks others.
+    pub async fn request_relief(&self, term: &Term, round: usize) -> ReliefOutcome {
         let call = Call::new(Method::Post, format!("/terms/{}/relief", term.owner.term))
             .with_body(records::encode(&Relief { lease: term.lease.0 }));
-        for peer in self.view.strong_entries(RELIEF_ATTEMPTS) {
-            let answer = match self.client.call(peer, &call, RELIEF_TIMEOUT).await {
+        let mut peers = self.view.strong_entries();
+        let skipped = round * RELIEF_ATTEMPTS % peers.len().max(1);
+        peers.rotate_left(skipped);
+        peers.truncate(RELIEF_ATTEMPTS);
+        let ask = |peer: &SocketAddr| {
+            let peer = *peer;
+            let call = &call;
+            async move { (peer, self.client.call(peer, call, RELIEF_TIMEOUT).await) }
+        };
+        let answers = futures::future::join_all(peers.iter().map(ask)).await;
+        for (peer, answer) in &answers {
+            let text = match answer {
                 Ok(reply) => format!("status {}", reply.status),
                 Err(e) => e.to_string(),
             };
-            log::warn!(peer:% = peer, term = term.owner.term, answer = answer; "the store is lost; relief requested");
-            if answer == "status 200" {
-                return true;
+            log::warn!(peer:% = peer, term = term.owner.term, answer = text; "the store is lost; relief requested");
+        }
+        let has_status = |status| answers.iter().any(|(_, a)| a.as_ref().is_ok_and(|reply| reply.status == status));
+        let is_silent = |answer: &Result<_, CallError>| answer.as_ref().is_err_and(|e| !e.is_refused());
+        if has_status(StatusCode::Ok as u16) {
+            ReliefOutcome::Granted
+        } else if has_status(StatusCode::Conflict as u16) && term.age() >= MIN_DEPOSED_AGE {
+            ReliefOutcome::Deposed
+        } else if answers.iter().all(|(_, a)| a.is_err()) && answers.iter().any(|(_, a)| is_silent(a)) {
+            ReliefOutcome::CutOff
+        } else {
+            ReliefOutcome::Refused
+        }
+    }
+
+    /// Tells the scheduler of an earlier term that a later one has begun, until it answers. It may have lost the store,
+    /// and would extend leases of workers that this entry can't reach.
+    pub async fn depose(&self, earlier: &Owner, term: &Term) {
+        let call = Call::new(Method::Post, format!("/terms/{}/over", earlier.term));
+        let began = Instant::now();
+        while began.elapsed() < DEPOSE_LIMIT && !term.is_ended() {
+            match self.client.call(earlier.peers, &call, ANSWER_TIMEOUT).await {
+                Ok(reply) => {
+                    log::info!(scheduler:% = earlier.entry, term = earlier.term, status = reply.status; "earlier scheduler told that its term is over");
+                    return;
+                }
+                // Its process has ended.
+                Err(e) if e.is_refused() => return,
+                Err(_) => task::sleep(DEPOSE_PAUSE).await,
             }
         }
-        false
+        log::warn!(scheduler:% = earlier.entry, term = earlier.term; "no answer of the earlier scheduler; it may still extend leases");
     }
 
     /// State of a job; `None` if the scheduler doesn't know it or gives no answer.
@@ -165,6 +228,7 @@
     app.at("/queues/:queue").get(get_queue);
     app.at("/terms/:term/handover").post(hand_over);
     app.at("/terms/:term/relief").post(relieve);
+    app.at("/terms/:term/over").post(end_deposed);
 }
 
 /// Term of this entry, if it schedules and has loaded the jobs.
@@ -223,12 +287,12 @@
     let requested_term = req.param("term").ok().and_then(|t| t.parse().ok());
     let relief: Relief = records::decode(&req.body_bytes().await?)?;
     let view = req.state();
+    if view.is_current() && view.scheduler().map(|o| o.term) != requested_term {
+        return Ok(Response::new(StatusCode::Conflict));
+    }
     if !view.reaches_store() || view.is_stopping() {
         return Ok(Response::new(StatusCode::ServiceUnavailable));
     }
-    if view.scheduler().map(|o| o.term) != requested_term {
-        return Ok(Response::new(StatusCode::Conflict));
-    }
     Ok(match view.store.end_lease(LeaseId(relief.lease), RELIEF_TIMEOUT).await {
         Ok(()) => {
             log::warn!(term = requested_term.unwrap_or(0); "lease of a scheduler that has lost the store ended");
@@ -242,6 +306,15 @@
     })
 }
 
+/// Ends the term of this entry if a later one has begun.
+async fn end_deposed(req: Request<Arc<View>>) -> tide::Result {
+    let over = req.param("term").ok().and_then(|t| t.parse().ok());
+    if let Some(term) = req.state().term().filter(|t| over.is_some_and(|over: u32| t.owner.term <= over)) {
+        term.end("another entry has begun a later term");
+    }
+    Ok(Response::new(StatusCode::Ok))
+}
+
 async fn get_queue(req: Request<Arc<View>>) -> tide::Result {
     let queue = QueueName::new(req.param("queue").unwrap_or_default());
     Ok(match loaded_term(&req) {
--- a/crates/carawaybarrow/src/node/records.rs
+++ b/crates/carawaybarrow/src/node/records.rs
@@ -12,6 +12,10 @@
 /// Key of the [`Owner`] document, which the store deletes when the scheduler's lease ends.
 pub const SCHEDULER_KEY: &str = "scheduler/owner";
 
+/// Key of the [`Owner`] document of the last term that has begun. It outlives the term, as its scheduler may go on
+/// without the store, and must be told by its successor that its term is over.
+pub const LAST_SCHEDULER_KEY: &str = "scheduler/last";
+
 /// Key of the number of terms that have begun.
 pub const TERM_COUNT_KEY: &str = "scheduler/terms";
 
--- a/crates/carawaybarrow/src/node/term.rs
+++ b/crates/carawaybarrow/src/node/term.rs
@@ -69,6 +69,8 @@
     pub workers: WorkerClient,
     /// Client of the service that says which workers may run a step; `None` if the settings name none.
     advice: Option<AdviceClient>,
+    /// Time at which the term began.
+    began: MonoTime,
     /// Whether the previous scheduler is known to give no more VM orders.
     pub may_order_vms_at_once: bool,
     /// Last known revisions of the stored progress of jobs.
@@ -105,6 +107,7 @@
             view,
             workers,
             advice,
+            began: view::now().mono,
             may_order_vms_at_once,
             progress_revisions: Mutex::default(),
             scheduler: Mutex::new(scheduler),
@@ -124,6 +127,12 @@
         f(&mut self.scheduler.lock().expect("no holder panics"))
     }
 
+    /// Time since the term began.
+    #[must_use]
+    pub fn age(&self) -> Millis {
+        view::now().mono.since(self.began)
+    }
+
     /// Time for one page of a list of the store, which depends on the bandwidth of the link.
     #[must_use]
     pub fn list_timeout(&self) -> Duration {
--- a/crates/carawaybarrow/src/node/view.rs
+++ b/crates/carawaybarrow/src/node/view.rs
@@ -131,13 +131,19 @@
         self.stopping.load(Ordering::SeqCst)
     }
 
+    /// Whether the store has just answered this entry, so that the known scheduler is the present one.
+    #[must_use]
+    pub fn is_current(&self) -> bool {
+        let probed = self.probed();
+        let is_reached = probed.proved_at.is_some_and(|at| clock::boot_now().since(at) <= REACHED_AGE);
+        is_reached && !probed.is_store_lost
+    }
+
     /// Whether the store has just answered this entry, and was not lost for it shortly before.
     #[must_use]
     pub fn reaches_store(&self) -> bool {
-        let now = clock::boot_now();
-        let probed = self.probed();
-        let is_reached = probed.proved_at.is_some_and(|at| now.since(at) <= REACHED_AGE);
-        is_reached && !probed.is_store_lost && probed.regained_at.is_none_or(|at| now.since(at) >= REGAINED_AGE)
+        let regained_at = self.probed().regained_at;
+        self.is_current() && regained_at.is_none_or(|at| clock::boot_now().since(at) >= REGAINED_AGE)
     }
 
     /// Lets the next probe of the store begin at once.
@@ -151,14 +157,14 @@
         let _ = future::timeout(PROBE_INTERVAL, self.probe_request.wait()).await;
     }
 
-    /// Addresses of the entries that are not clearly weaker than this one, the strongest first, at most `limit`.
+    /// Addresses of the entries that are not clearly weaker than this one, the strongest first.
     #[must_use]
-    pub fn strong_entries(&self, limit: usize) -> Vec<SocketAddr> {
+    pub fn strong_entries(&self) -> Vec<SocketAddr> {
         let members = self.others.lock().expect("no holder panics");
         let is_strong = |m: &&Member| !self.settings.strength.is_clearly_stronger_than(&m.strength);
         let mut strong: Vec<&Member> = members.iter().flatten().filter(is_strong).collect();
         strong.sort_by_key(|m| std::cmp::Reverse((m.strength.cpu, m.strength.link_kbps)));
-        strong.into_iter().take(limit).map(|m| m.peers).collect()
+        strong.into_iter().map(|m| m.peers).collect()
     }
 
     /// Marks the process as shutting down.
--- a/crates/carawaybarrow/tests/installation/mod.rs
+++ b/crates/carawaybarrow/tests/installation/mod.rs
@@ -3,6 +3,7 @@
 
 use std::fs::{self, File};
 use std::net::{IpAddr, SocketAddr};
+use std::ops::Range;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -125,7 +126,8 @@
         std::mem::forget((handle, handles));
         let mut vm_api = None;
         if let Some(delay) = size.vm_api_delay {
-            let (vm_api_address, handle) = VmApi::new(fleet.clone(), delay).serve().await.expect("a port for the VM API");
+            let (vm_api_address, handle) =
+                VmApi::new(fleet.clone(), delay).serve().await.expect("a port for the VM API");
             std::mem::forget(handle);
             vm_api = Some(vm_api_address);
         }
@@ -176,11 +178,36 @@
         owner["entry"].as_str()?.trim_start_matches('e').parse().ok()
     }
 
+    /// Injects a fault of the store for a while, and returns its description.
+    pub fn inject_store_fault(&self, fault: store::Fault, duration: Duration) -> String {
+        self.store.set_fault(fault);
+        let store = self.store.clone();
+        task::spawn(async move {
+            task::sleep(duration).await;
+            store.set_fault(store::Fault::None);
+        });
+        format!("store: {fault:?} for {duration:?}")
+    }
+
+    /// Injects a fault of a worker for a while, and returns its description.
+    pub fn inject_worker_fault(&self, index: usize, fault: workers::Fault, duration: Duration) -> String {
+        self.fleet.set_fault(index, fault);
+        let fleet = self.fleet.clone();
+        task::spawn(async move {
+            task::sleep(duration).await;
+            fleet.set_fault(index, workers::Fault::None);
+        });
+        format!("w{index}: {fault:?} for {duration:?}")
+    }
+
     /// Ends all faults that still last. Entries that are down are restarted by the task of their fault.
     pub fn end_faults(&self) {
         self.store.set_fault(store::Fault::None);
         self.worker_proxies.iter().for_each(|proxy| proxy.set_path_state(PathState::Open));
-        (0..self.worker_proxies.len()).for_each(|worker_index| self.fleet.set_fault(worker_index, workers::Fault::None));
+        for worker_index in 0..self.worker_proxies.len() {
+            self.fleet.set_fault(worker_index, workers::Fault::None);
+            self.fleet.set_reach(worker_index, workers::Reach::All);
+        }
         for entry in &self.entries {
             let entry = entry.lock().expect("the lock is not poisoned");
             entry.store_proxy.set_path_state(PathState::Open);
@@ -229,14 +256,19 @@
 }
 
 /// Submits random jobs until `deadline` and cancels a tenth of them.
-pub async fn send_jobs(entries: Vec<SocketAddr>, seed: u64, deadline: Instant) -> Vec<ObservedJob> {
+pub async fn send_jobs(
+    entries: Vec<SocketAddr>,
+    seed: u64,
+    deadline: Instant,
+    run_time_ms: Range<u64>,
+) -> Vec<ObservedJob> {
     let mut rng = StdRng::seed_from_u64(seed);
     let caller = Arc::new(Caller::new(KEY));
     let mut sent = Vec::new();
     while Instant::now() < deadline {
         let steps = (0..rng.random_range(1..3)).map(|_| rng.random_range(1..6)).collect();
-        let job =
-            Job { id: format!("{:016x}", rng.random::<u64>()), steps, run_time_ms: Some(rng.random_range(50..500)) };
+        let run_time_ms = Some(rng.random_range(run_time_ms.clone()));
+        let job = Job { id: format!("{:016x}", rng.random::<u64>()), steps, run_time_ms };
         let (first, to_cancel) = (rng.random_range(0..entries.len()), rng.random_ratio(1, 10));
         let (caller, entries) = (Arc::clone(&caller), entries.clone());
         sent.push(task::spawn(async move {
