Order nothing about VMs without a current lease

VMs of a wave that the list shows under maintenance count towards the ceiling. While no orders may be given, evacuations still end after their limit.

--- a/crates/carawaybarrow/src/node/vm_orders.rs
+++ b/crates/carawaybarrow/src/node/vm_orders.rs
@@ -81,6 +81,12 @@
             continue;
         }
         for wave in &mut waves {
+            // The term may have ended during a call, or while the process was suspended. A scheduler that has not renewed
+            // its lease lately can't tell whether another one gives orders.
+            if term.is_ended() || !term.reaches_store() {
+                term.with(|s| s.end_long_evacuations(view::now().mono, wave, &listed));
+                continue;
+            }
             if !advance_wave(&term, &vms, &holder, wave, &listed).await {
                 return;
             }
@@ -113,7 +119,7 @@
 ) -> bool {
     // A worker that is not in the stored recovery set gets no tasks, so a moved VM would be of no use, and the next
     // scheduler would wait for the worker that it had.
-    if !term.reaches_store() {
+    if term.is_ended() || !term.reaches_store() {
         return true;
     }
     let moves = term.with(|s| s.plan_moves(view::now().mono, balance, listed));
--- a/crates/core/src/sched/maintenance.rs
+++ b/crates/core/src/sched/maintenance.rs
@@ -187,6 +187,10 @@
                 _ => {}
             }
         }
+        // An earlier scheduler may have ordered VMs down until just before it ended, and not have stored it.
+        let is_in_maintenance = |key: &VmKey| by_key.get(key).is_some_and(|vm| vm.state == VmState::Maintenance);
+        let is_waiting = |(key, step): &(&VmKey, &VmStep)| **step == VmStep::Waiting && is_in_maintenance(key);
+        let down_unordered = wave.vms.iter().filter(is_waiting).count();
         let mut ready = Vec::new();
         let evacuating: Vec<(VmKey, MonoTime)> = wave
             .vms
@@ -197,18 +201,15 @@
             .collect();
         for (key, since) in evacuating {
             let worker = by_key.get(&key).and_then(|vm| vm.worker.clone());
-            if self.evacuate_worker(now, worker.as_ref(), since) && wave.down() < wave.request.ceiling {
+            let may_go_down = wave.down() + down_unordered < wave.request.ceiling;
+            if self.evacuate_worker(now, worker.as_ref(), since) && may_go_down {
                 wave.vms.insert(key.clone(), VmStep::Ordered(now));
                 ready.push(key);
-            } else if now.since(since) > EVACUATION_LIMIT {
-                if let Some(worker) = &worker {
-                    self.set_cordoned(worker, false);
-                }
-                wave.vms.insert(key, VmStep::Waiting);
             }
         }
+        self.end_long_evacuations(now, wave, listed);
         let target_concurrency = wave.target_concurrency(now, maintenance);
-        while wave.evacuating() + wave.down() < target_concurrency {
+        while wave.evacuating() + wave.down() + down_unordered < target_concurrency {
             let waiting = wave.vms.iter().filter(|(_, s)| **s == VmStep::Waiting);
             let up = waiting.filter(|(key, _)| by_key.get(key).is_some_and(|vm| vm.state == VmState::Up));
             let next = up.min_by_key(|(key, _)| {
@@ -225,6 +226,19 @@
         ready
     }
 
+    /// Returns VMs of a wave to service whose evacuation has taken too long, or could not end because no orders may be
+    /// given.
+    pub fn end_long_evacuations(&mut self, now: MonoTime, wave: &mut Wave, listed: &[Vm]) {
+        for (key, step) in &mut wave.vms {
+            if matches!(step, VmStep::Evacuating(since) if now.since(*since) > EVACUATION_LIMIT) {
+                *step = VmStep::Waiting;
+                if let Some(worker) = listed.iter().find(|vm| vm.key == *key).and_then(|vm| vm.worker.as_ref()) {
+                    self.set_cordoned(worker, false);
+                }
+            }
+        }
+    }
+
     /// Applies the answer to an order of a wave. An accepted order may have been executed in an earlier term, so the
     /// worker's runs are kept until its lists or the list of VMs show that they ended.
     pub fn apply_maintenance_answer(&mut self, now: MonoTime, wave: &mut Wave, vm: &VmKey, answer: VmAnswer) {
--- a/crates/core/tests/sched/capacity.rs
+++ b/crates/core/tests/sched/capacity.rs
@@ -153,6 +153,30 @@
     assert!(wave.is_complete());
 }
 
+/// Guards against more VMs down than the wave allows because a new scheduler does not count a VM that is under
+/// maintenance by an order of its predecessor, which did not store it. Seen in review/4.
+#[test]
+fn vm_that_another_scheduler_ordered_down_counts_towards_the_ceiling() {
+    let mut model = Model::new(4);
+    model.run_for(300);
+    let progress = WaveProgress { started: model.time().wall, ordered: Vec::new() };
+    let mut wave = Wave::new(wave_request(&model, 1), model.time(), &progress);
+    let mut listed = list_vms(&model);
+    let ordered_before = listed.iter_mut().find(|vm| vm.key == VmKey::new("m2")).expect("the VM is listed");
+    ordered_before.state = VmState::Maintenance;
+    for _ in 0..100 {
+        let ordered = model.scheduler.advance_wave(MonoTime(model.now), &mut wave, &listed);
+        assert_eq!(ordered, [], "m2 is down");
+        model.run_for(50);
+    }
+    let ordered = (0..100).find_map(|_| {
+        let ordered = model.scheduler.advance_wave(MonoTime(model.now), &mut wave, &list_vms(&model));
+        model.run_for(50);
+        ordered.first().cloned()
+    });
+    assert!(ordered.is_some(), "m2 is up again");
+}
+
 /// Guards against maintenance that stops more tasks of a lasting step at the same time than the step may miss.
 #[test]
 fn maintenance_stops_lasting_tasks_one_at_a_time() {
