Count only running members in the target of job shards

The target is an even split among the members with a recent heartbeat.

Evidence: survivor_keeps_all_shards failed on the code before and passes.

--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -333,7 +333,9 @@
                     accepted.push((spec.accepted, job, spec, item.created < term.revision));
                 }
                 Ok(JobRecord::Ended { state, at, .. }) => term.with(|s| s.add_ended(job, state, at)),
-                Err(e) => log::error!(job:% = job, error:% = e; "the record of a job can't be read; the job is left out"),
+                Err(e) => {
+                    log::error!(job:% = job, error:% = e; "the record of a job can't be read; the job is left out")
+                }
             },
             None => log::warn!(key:% = item.key; "the store returned a key without the prefix of jobs"),
         }
--- a/crates/carawaybarrow/src/ownership.rs
+++ b/crates/carawaybarrow/src/ownership.rs
@@ -6,8 +6,9 @@
 
 use async_std::task;
 use carawaybarrow_core::commit::Document;
-use carawaybarrow_core::ids::{ShardId, StoreVersion};
+use carawaybarrow_core::ids::{EntryId, ShardId, StoreVersion};
 use carawaybarrow_core::journal::JobShard;
+use carawaybarrow_core::membership::Member;
 use carawaybarrow_core::units::Millis;
 
 use crate::entry::{self, Entry};
@@ -83,10 +84,17 @@
         }
     }
 
-    /// Number of shards that this entry should own: an even split among the members, rounded up.
+    /// Number of shards that this entry should own: an even split among the members that run, rounded up. A member that
+    /// was lost owns none, and would leave a shard that each survivor acquires and releases again.
     fn target_shard_count(&self) -> usize {
-        let members = self.config_state.members().members.current.len().max(1);
-        usize::from(self.shards.count).div_ceil(members)
+        let members = self.config_state.members();
+        let now = self.clock.now();
+        let is_running = |(entry, member): &(&EntryId, &Member)| {
+            let silence = self.peers.time_since_heartbeat(entry, member.process.incarnation, now);
+            **entry == self.settings.entry || silence.is_some_and(|silence| silence <= OWNER_TIMEOUT)
+        };
+        let running = members.members.current.iter().filter(is_running).count();
+        usize::from(self.shards.count).div_ceil(running.max(1))
     }
 
     async fn acquire_shards(self: &Arc<Self>) {
--- a/crates/carawaybarrow/tests/ledger.rs
+++ b/crates/carawaybarrow/tests/ledger.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use async_std::task;
 use carawaybarrow_core::ids::ShardId;
@@ -258,6 +258,29 @@
     wait_for_lines(&cluster, 1, &all).await;
 }
 
+/// Guards against a survivor that acquires the last shard and releases it again each second, because an entry that was
+/// lost still counts as one that could own it.
+#[async_std::test]
+async fn survivor_keeps_all_shards() {
+    let mut cluster = Cluster::start("ledger-survivor", 0, 3).await;
+    for name in ["e1", "e2"] {
+        cluster.add_entry(name, &json!({ "job_shards": SHARDS }));
+    }
+    cluster.configure(50).await;
+    cluster.entries[0].kill();
+    let owns_all = async |cluster: &Cluster| {
+        let status = cluster.status(1).await;
+        Some(status["shards"].as_array()?.len() == usize::from(SHARDS))
+    };
+    poll_until("the other entry owns all shards", || async { owns_all(&cluster).await.filter(|owns| *owns) }).await;
+    // Several rounds of the check that releases shards.
+    let until = Instant::now() + Duration::from_secs(4);
+    while Instant::now() < until {
+        assert_eq!(owns_all(&cluster).await, Some(true), "a shard was released");
+        task::sleep(Duration::from_millis(1)).await;
+    }
+}
+
 /// Guards against lines of changes, keys, moves and drains that are missing or written twice when the coordinator,
 /// which is the owner of shard 0, is killed and another entry continues from the stored cursor.
 #[async_std::test]
