Store the recovery set when a worker arrives

Since the recovery set names only workers that have answered, it was stored only after the first answer of a worker, and the worker got its first tasks some 0.1 s later than before. A worker that is listed after the first list of a term now belongs to the set for 1.5 s before it has answered, so that one write and the first poll go on at the same time.

--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -19,10 +19,15 @@
 /// Time after a worker became known in which a list of VMs may not show it yet, as the list lags.
 const VM_LIST_LAG: Millis = Millis(2_000);
 
+/// Time for which a worker that arrives belongs to the recovery set before it has answered, so that the set is stored by
+/// the time it does.
+const ARRIVAL_GRACE: Millis = Millis(1_500);
+
 impl Scheduler {
     /// Applies the list of workers that have a report in the store.
     pub fn set_workers(&mut self, now: MonoTime, listed: Vec<WorkerReport>) {
         let mut seen = Set::default();
+        let is_first_list = !std::mem::replace(&mut self.has_worker_list, true);
         for report in listed {
             seen.insert(report.key.clone());
             match self.workers.get_mut(&report.key) {
@@ -32,7 +37,9 @@
                     worker.report = report;
                 }
                 None => {
-                    self.workers.insert(report.key.clone(), Worker::new(report, true, now));
+                    let mut worker = Worker::new(report, true, now);
+                    worker.is_arrival = !is_first_list;
+                    self.workers.insert(worker.report.key.clone(), worker);
                 }
             }
         }
@@ -158,15 +165,21 @@
     /// needlessly.
     #[must_use]
     pub fn is_recovery_set_outdated(&self) -> bool {
-        let is_missing = self.workers.values().any(|w| w.is_available() && !w.is_in_recovery_set);
+        let is_missing = self.workers.values().any(|w| self.may_get_tasks_soon(w) && !w.is_in_recovery_set);
         let needed = self.workers.values().filter(|w| self.belongs_to_recovery_set(w)).count();
         is_missing || (self.is_reconciled && self.recovery_set_size > needed)
     }
 
+    /// Whether a worker is available, or has arrived so lately that it may become so at once.
+    fn may_get_tasks_soon(&self, worker: &Worker) -> bool {
+        let is_new = worker.is_arrival && self.last_mono.since(worker.known_since) < ARRIVAL_GRACE;
+        worker.is_available() || (worker.is_schedulable() && is_new)
+    }
+
     /// Whether the next scheduler has to know of a worker. Workers without runs that are cordoned or shutting down, or
-    /// have never answered, are left out, because it would wait for them.
+    /// that do not answer, are left out, because it would wait for them.
     fn belongs_to_recovery_set(&self, worker: &Worker) -> bool {
-        worker.is_available() || !worker.runs.is_empty() || self.unreconciled.contains(&worker.report.key)
+        self.may_get_tasks_soon(worker) || !worker.runs.is_empty() || self.unreconciled.contains(&worker.report.key)
     }
 
     /// Recovery set to store. The other workers get no runs from now on, as the stored set may no longer name them.
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -83,6 +83,8 @@
     /// Time by which the previous scheduler has surely stopped.
     pub(super) previous_stopped_by: MonoTime,
     pub(super) is_reconciled: bool,
+    /// Whether the workers have been listed in this term.
+    pub(super) has_worker_list: bool,
     /// Number of workers in the stored recovery set.
     pub(super) recovery_set_size: usize,
     /// Time of the last lists or plan.
@@ -119,6 +121,7 @@
             reconcile_by: MonoTime(0),
             previous_stopped_by: MonoTime(0),
             is_reconciled: false,
+            has_worker_list: false,
             recovery_set_size: 0,
             last_mono: MonoTime(0),
             last_wall: WallTime(0),
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -57,6 +57,8 @@
     pub is_gone: bool,
     /// Time since which this scheduler knows its present incarnation.
     pub known_since: MonoTime,
+    /// Whether it was listed for the first time after the first list of the term.
+    pub is_arrival: bool,
     /// Whether it gets no new tasks because its VM is to move or to have maintenance.
     pub is_cordoned: bool,
     /// Whether its data centre is evacuated, so that it gets no new tasks.
@@ -107,6 +109,7 @@
             is_listed,
             is_gone: false,
             known_since: now,
+            is_arrival: false,
             is_cordoned: false,
             is_evacuated: false,
             refuses_earlier_terms: false,
