--- a/crates/carawaybarrow/tests/installation/mod.rs
+++ b/crates/carawaybarrow/tests/installation/mod.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
+use carawaybarrow_net::server::Handle;
 use carawaybarrow_standin::caller::{Answer, Caller, Job};
 use carawaybarrow_standin::checker::ObservedJob;
 use carawaybarrow_standin::proxy::{PathState, Proxy};
@@ -114,6 +115,8 @@
     pub entries: Vec<Arc<Mutex<Entry>>>,
     /// Folder of the settings and logs.
     pub folder: PathBuf,
+    /// Servers of the stand-ins, which run until they are dropped.
+    servers: Vec<Handle>,
 }
 
 impl Installation {
@@ -122,13 +125,13 @@
         let store = Store::default();
         let (address, handle) = store.serve().await.expect("a port for the store");
         let (fleet, handles) = Fleet::start(&store, POOL, size.workers).await.expect("ports for the workers");
-        // Keeps the servers running until the test process ends.
-        std::mem::forget((handle, handles));
+        let mut servers = vec![handle];
+        servers.extend(handles);
         let mut vm_api = None;
         if let Some(delay) = size.vm_api_delay {
             let (vm_api_address, handle) =
                 VmApi::new(fleet.clone(), delay).serve().await.expect("a port for the VM API");
-            std::mem::forget(handle);
+            servers.push(handle);
             vm_api = Some(vm_api_address);
         }
         let mut worker_proxies = Vec::new();
@@ -164,7 +167,7 @@
             entry.start();
             entries.push(Arc::new(Mutex::new(entry)));
         }
-        Self { store, fleet, worker_proxies, entries, folder }
+        Self { store, fleet, worker_proxies, entries, folder, servers }
     }
 
     /// Addresses of the entries for callers.
--- a/crates/carawaybarrow/tests/soak.rs
+++ b/crates/carawaybarrow/tests/soak.rs
@@ -42,8 +42,10 @@
 /// Time during which faults are injected.
 const FAULT_DURATION: Duration = Duration::from_secs(8);
 
-/// Seeds of the run in CI with outages.
-const OUTAGE_SEEDS: [u64; 2] = [500, 501];
+/// Seeds of the run in CI with outages. They found faults. 512: a scheduler without the store went on beside its
+/// successor. 520: the successor did not know the scheduler of the last term. No other seed of this file may give the
+/// same addresses, see [`HANDOVER_SEED`].
+const OUTAGE_SEEDS: [u64; 2] = [512, 520];
 
 /// Number of seeds with outages that run at the same time, each with up to nine processes.
 const OUTAGE_SEEDS_AT_ONCE: usize = 3;
