Let waves go on in an outage of the store while the term is confirmed

A term now counts as confirmed for 2 s after the store renewed its lease, or after entries that have lost the store too knew of no later term; a later scheduler gives its first orders about VMs 3 s after it began.

--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -270,11 +270,12 @@
                 failures += 1;
                 // Another entry that reaches the store can take over before the lease lapses.
                 if let Some(round) = failures.checked_sub(FAILURES_BEFORE_RELIEF) {
+                    let asked = view::now().mono;
                     match scheduler.request_relief(&term, round).await {
                         ReliefOutcome::Granted => return term.end("the store is lost and another entry takes over"),
                         ReliefOutcome::Deposed => return term.end("another entry knows that the term is over"),
                         ReliefOutcome::CutOff => return term.end("the store and the other entries are lost"),
-                        ReliefOutcome::Refused => {}
+                        ReliefOutcome::Refused => term.record_confirmation(asked),
                     }
                 }
                 task::sleep(RENEW_RETRY_PAUSE).await;
--- a/crates/carawaybarrow/src/node/term.rs
+++ b/crates/carawaybarrow/src/node/term.rs
@@ -30,6 +30,10 @@
 /// Time since the last confirmed renewal of the lease after which the store counts as lost. Two renewals fit into it.
 const STORE_CONTACT_LIMIT: Millis = Millis(1_000);
 
+/// Time since the last confirmation of the term after which no orders about VMs are given. A later scheduler gives its
+/// first ones 3 s after it began, and a call takes up to 1 s.
+const VM_ORDER_LIMIT: Millis = Millis(2_000);
+
 /// Time after which an order that was not sent is dropped. A process that was paused may no longer schedule, and a plan
 /// that old no longer fits.
 const MAX_ORDER_AGE: Millis = Millis(400);
@@ -82,6 +86,9 @@
     ended: AtomicBool,
     /// Time at which the last renewal of the lease was sent, in ms; 0 if it failed.
     renewed_at: AtomicU64,
+    /// Time in ms at which the store, or other entries without the store, were last asked and did not know of a later
+    /// term.
+    confirmed_at: AtomicU64,
     write_notify: Notify,
     plan_notify: Notify,
     recovery_set_notify: Notify,
@@ -116,6 +123,7 @@
             evacuations_start: AtomicU64::new(0),
             ended: AtomicBool::new(false),
             renewed_at: AtomicU64::new(view::now().mono.0),
+            confirmed_at: AtomicU64::new(view::now().mono.0),
             write_notify: Notify::new(),
             plan_notify: Notify::new(),
             recovery_set_notify: Notify::new(),
@@ -167,6 +175,12 @@
     /// Records that the store confirmed a renewal of the lease that was sent at a time.
     pub fn record_renewal(&self, sent: MonoTime) {
         self.renewed_at.store(sent.0, Ordering::SeqCst);
+        self.record_confirmation(sent);
+    }
+
+    /// Records that the term goes on as far as the store knew, or entries that have lost it too, when asked at a time.
+    pub fn record_confirmation(&self, asked: MonoTime) {
+        self.confirmed_at.fetch_max(asked.0, Ordering::SeqCst);
     }
 
     /// Records that a renewal of the lease failed.
@@ -180,6 +194,13 @@
         view::now().mono.since(MonoTime(self.renewed_at.load(Ordering::SeqCst))) <= STORE_CONTACT_LIMIT
     }
 
+    /// Whether the term goes on and was confirmed so lately that no later scheduler gives orders about VMs yet.
+    #[must_use]
+    pub fn may_order_vms(&self) -> bool {
+        let confirmed_at = MonoTime(self.confirmed_at.load(Ordering::SeqCst));
+        !self.is_ended() && view::now().mono.since(confirmed_at) <= VM_ORDER_LIMIT
+    }
+
     /// Whether the term has ended, so that this entry no longer schedules.
     #[must_use]
     pub fn is_ended(&self) -> bool {
--- a/crates/carawaybarrow/src/node/vm_orders.rs
+++ b/crates/carawaybarrow/src/node/vm_orders.rs
@@ -81,9 +81,8 @@
             continue;
         }
         for wave in &mut waves {
-            // The term may have ended during a call, or while the process was suspended. A scheduler that has not renewed
-            // its lease lately can't tell whether another one gives orders.
-            if term.is_ended() || !term.reaches_store() {
+            // The term may have ended during a call, or while the process was suspended.
+            if !term.may_order_vms() {
                 term.with(|s| s.end_long_evacuations(view::now().mono, wave, &listed));
                 continue;
             }
