Look for replaced workers only where one has answered

Each first answer of a worker compared all unlisted workers with all listed ones, which takes processor time in proportion to the square of the fleet while VMs move. Only the worker that answered is compared now.

--- a/crates/core/src/sched/answers.rs
+++ b/crates/core/src/sched/answers.rs
@@ -59,7 +59,7 @@
         self.unreconciled.remove(key);
         self.check_reconciled(now.mono);
         if is_first_answer {
-            self.drop_replaced(now.mono);
+            self.drop_replaced_by(now.mono, key);
         }
     }
 
--- a/crates/core/src/sched/order.rs
+++ b/crates/core/src/sched/order.rs
@@ -217,3 +217,12 @@
     /// Start of its incarnation in Unix ms, which identifies it; `None` if the worker does not report it.
     pub incarnation: Option<u64>,
 }
+
+impl WorkerReport {
+    /// Whether the worker has the VM or the address of another one, which has ended if both reports are right.
+    #[must_use]
+    pub fn replaces(&self, old: &Self) -> bool {
+        let same_vm = self.vm.is_some() && self.vm == old.vm;
+        self.key != old.key && (same_vm || self.address == old.address)
+    }
+}
--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -52,20 +52,24 @@
 
     /// Drops unlisted workers whose VM or address another worker has now, as they no longer run. The other worker must
     /// have answered, as a report may be wrong.
-    pub(super) fn drop_replaced(&mut self, now: MonoTime) {
-        if self.workers.values().all(|w| w.is_listed) {
-            return;
-        }
+    fn drop_replaced(&mut self, now: MonoTime) {
         let has_answered = |w: &&Worker| w.is_listed && w.refuses_earlier_terms;
         let listed: Vec<&WorkerReport> = self.workers.values().filter(has_answered).map(|w| &w.report).collect();
-        let is_replaced = |old: &WorkerReport| {
-            listed.iter().any(|new| {
-                let same_vm = new.vm.is_some() && new.vm == old.vm;
-                new.key != old.key && (same_vm || new.address == old.address)
-            })
-        };
+        let is_replaced = |old: &WorkerReport| listed.iter().any(|new| new.replaces(old));
         let unlisted = self.workers.values().filter(|w| !w.is_listed && is_replaced(&w.report));
         let replaced: Vec<WorkerKey> = unlisted.map(|w| w.report.key.clone()).collect();
+        self.remove_replaced(now, replaced);
+    }
+
+    /// Drops the unlisted workers that a worker replaces which has answered for the first time.
+    pub(super) fn drop_replaced_by(&mut self, now: MonoTime, key: &WorkerKey) {
+        let Some(new) = self.workers.get(key).filter(|w| w.is_listed) else { return };
+        let unlisted = self.workers.values().filter(|w| !w.is_listed && new.report.replaces(&w.report));
+        let replaced: Vec<WorkerKey> = unlisted.map(|w| w.report.key.clone()).collect();
+        self.remove_replaced(now, replaced);
+    }
+
+    fn remove_replaced(&mut self, now: MonoTime, replaced: Vec<WorkerKey>) {
         for key in replaced {
             self.drop_ended_worker(now, &key, now);
             self.workers.remove(&key);
