--- a/crates/carawaybarrow/tests/odd_entries.rs
+++ b/crates/carawaybarrow/tests/odd_entries.rs
@@ -24,6 +24,9 @@
 /// which jobs must not wait here, last longer.
 const TAKEOVER_LIMIT: Duration = Duration::from_secs(6);
 
+/// Depth of the nested entries.
+const NESTING: usize = 20_000;
+
 /// Items of one page of the stand-in's store.
 const PAGE_ITEMS: usize = 500;
 
@@ -36,13 +39,10 @@
 
 /// Writes odd entries beside the reports of the workers. Nothing answers at `silent`.
 fn write_odd_entries(store: &Store, silent: &str) {
-    let nested = (0..2_000).fold(json!(1), |inner, _| json!([inner]));
     let mut entries = vec![report(silent), report("127.0.0.1:1"), report("127.0.0.1:99999")];
-    for (field, value) in [("zone", nested.clone()), ("version", nested), ("state", json!("lost"))] {
-        let mut entry = report(silent);
-        entry[field] = value;
-        entries.push(entry);
-    }
+    let mut lost = report(silent);
+    lost["state"] = json!("lost");
+    entries.push(lost);
     let mut large = report(silent);
     large["capacity"]["cpu"] = json!(u64::MAX);
     large["born"] = json!(u64::MAX);
@@ -50,6 +50,12 @@
     for (number, entry) in entries.iter().enumerate() {
         store.write(&format!("{REPORT_PREFIX}odd&{number}%20"), entry);
     }
+    // A value of this depth can't be built without a deep recursion here.
+    let nested = format!("{}1{}", "[".repeat(NESTING), "]".repeat(NESTING));
+    for field in ["zone", "version"] {
+        let text = report(silent).to_string().replacen('{', &format!("{{\"{field}\":{nested},"), 1);
+        store.write_bytes(&format!("{REPORT_PREFIX}nested-{field}"), text.as_bytes());
+    }
     store.write_bytes(&format!("{REPORT_PREFIX}number"), br#"{"service":"pool","address":"127.0.0.1:1","born":1e999}"#);
     store.write_bytes(&format!("{REPORT_PREFIX}bytes"), &[0xff, 0x00, 0x7b]);
 }
