Treat a worker whose address another one has as gone

A worker at whose address another one answers (status 421) was unlisted and dropped within 0.2 s, and added again from its report each second, as workers whose VMs had moved were before: the same cause on a related path. It is now gone like those, until it answers under its id.

Whether a worker is listed follows from its report and from whether it is gone, and is no longer stored; one function ends replaced workers; reserving and releasing the resources of a task are functions of the worker.

--- a/crates/carawaybarrow/src/node/worker_polls.rs
+++ b/crates/carawaybarrow/src/node/worker_polls.rs
@@ -13,10 +13,11 @@
 /// Time for the answer to a poll, beyond the time for which the poll lets the worker wait.
 const POLL_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Pause after a poll that got no answer, or an answer of another incarnation.
+/// Pause after a poll that got no answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// Pause after a failed poll of a worker that has ended, which may start again under its id.
+/// Pause after a failed poll of a worker that has ended, or an answer of another one at its address. It may start again
+/// under its id.
 const GONE_RETRY_PAUSE: Duration = Duration::from_millis(1_000);
 
 /// Time between checks whether the ends of a worker are stored; the store answers in 4 ms.
@@ -61,7 +62,7 @@
             Ok(PollOutcome::OtherInstance) => {
                 term.with(|s| s.drop_ended_worker(view::now().mono, &worker, sent));
                 term.request_plan();
-                task::sleep(RETRY_PAUSE).await;
+                task::sleep(GONE_RETRY_PAUSE).await;
             }
             Err(e) => {
                 let is_gone = term.with(|s| {
--- a/crates/core/src/sched/answers.rs
+++ b/crates/core/src/sched/answers.rs
@@ -43,9 +43,7 @@
         let mut is_first_answer = false;
         if let Some(worker) = self.workers.get_mut(key) {
             is_first_answer = !worker.refuses_earlier_terms;
-            if std::mem::take(&mut worker.is_gone) {
-                worker.is_listed = true;
-            }
+            worker.is_gone = false;
             if !worker.refuses_earlier_terms {
                 // Until this answer, the previous scheduler may have extended the worker's lease.
                 worker.assume_lease(now.mono, lease);
@@ -59,7 +57,8 @@
         self.unreconciled.remove(key);
         self.check_reconciled(now.mono);
         if is_first_answer {
-            self.drop_replaced_by(now.mono, key);
+            let answered = self.workers.get(key).filter(|w| w.is_listed()).map(|w| w.report.clone());
+            self.drop_replaced(now.mono, answered.as_slice());
         }
     }
 
@@ -88,7 +87,7 @@
         self.check_reconciled(now);
         if let Some(worker) = self.workers.get_mut(key) {
             worker.last_answer = None;
-            worker.is_listed = false;
+            worker.is_gone = true;
         }
     }
 
--- a/crates/core/src/sched/checks.rs
+++ b/crates/core/src/sched/checks.rs
@@ -36,9 +36,9 @@
         self.stop_lasting_on_draining(now.mono);
         self.empty_evacuated(now.mono);
         self.set_paces();
-        // A worker that is gone would be added again as long as it has a report.
+        // A worker that is gone would be added again if it were dropped before its report.
         let is_needed = |w: &crate::sched::worker::Worker| {
-            w.is_listed || (w.is_gone && w.is_reported) || !w.runs.is_empty() || w.has_orphans || w.has_unstored_ends()
+            w.is_reported || !w.runs.is_empty() || w.has_orphans || w.has_unstored_ends()
         };
         if self.is_reconciled() {
             self.workers.retain(|_, w| is_needed(w));
--- a/crates/core/src/sched/job.rs
+++ b/crates/core/src/sched/job.rs
@@ -234,12 +234,6 @@
         self.spec.steps.get(step as usize).map(crate::sched::graph::Step::reserved).unwrap_or_default()
     }
 
-    /// Whether the tasks of a step serve users, and whether they are best-effort.
-    #[must_use]
-    pub fn kinds(&self, step: u32) -> (bool, bool) {
-        self.spec.steps.get(step as usize).map_or((false, false), |s| (s.target.is_some(), s.fills))
-    }
-
     /// Whether all tasks of all occurrences are done.
     #[must_use]
     pub fn is_complete(&self) -> bool {
--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -31,11 +31,7 @@
         for report in listed {
             seen.insert(report.key.clone());
             match self.workers.get_mut(&report.key) {
-                Some(worker) => {
-                    // The report of a worker whose VM is down stays in the store until its heartbeats are missed.
-                    worker.is_listed = !worker.is_gone;
-                    worker.report = report;
-                }
+                Some(worker) => worker.report = report,
                 None => {
                     let mut worker = Worker::new(report, true, now);
                     worker.is_arrival = !is_first_list;
@@ -45,37 +41,22 @@
         }
         for (key, worker) in &mut self.workers {
             worker.is_reported = seen.contains(key);
-            worker.is_listed &= worker.is_reported;
             worker.is_evacuated = self.evacuated.contains(&worker.report.data_centre);
         }
-        self.drop_replaced(now);
+        let has_answered = |w: &&Worker| w.is_listed() && w.refuses_earlier_terms;
+        let answered: Vec<WorkerReport> =
+            self.workers.values().filter(has_answered).map(|w| w.report.clone()).collect();
+        self.drop_replaced(now, &answered);
     }
 
-    /// Drops unlisted workers whose VM or address another worker has now, as they no longer run. The other worker must
-    /// have answered, as a report may be wrong.
-    fn drop_replaced(&mut self, now: MonoTime) {
-        let has_answered = |w: &&Worker| w.is_listed && w.refuses_earlier_terms;
-        let listed: Vec<&WorkerReport> = self.workers.values().filter(has_answered).map(|w| &w.report).collect();
-        let is_replaced = |old: &WorkerReport| listed.iter().any(|new| new.replaces(old));
-        let unlisted = self.workers.values().filter(|w| !w.is_listed && !w.is_gone && is_replaced(&w.report));
+    /// Drops unlisted workers whose VM or address one of the workers `new` has now, as they no longer run. Those must have
+    /// answered, as a report may be wrong.
+    pub(super) fn drop_replaced(&mut self, now: MonoTime, new: &[WorkerReport]) {
+        let is_replaced = |old: &WorkerReport| new.iter().any(|new| new.replaces(old));
+        let unlisted = self.workers.values().filter(|w| !w.is_listed() && !w.is_gone && is_replaced(&w.report));
         let replaced: Vec<WorkerKey> = unlisted.map(|w| w.report.key.clone()).collect();
-        self.end_replaced(now, replaced);
-    }
-
-    /// Drops the unlisted workers that a worker replaces which has answered for the first time.
-    pub(super) fn drop_replaced_by(&mut self, now: MonoTime, key: &WorkerKey) {
-        let Some(new) = self.workers.get(key).filter(|w| w.is_listed) else { return };
-        let unlisted = self.workers.values().filter(|w| !w.is_listed && !w.is_gone && new.report.replaces(&w.report));
-        let replaced: Vec<WorkerKey> = unlisted.map(|w| w.report.key.clone()).collect();
-        self.end_replaced(now, replaced);
-    }
-
-    fn end_replaced(&mut self, now: MonoTime, replaced: Vec<WorkerKey>) {
         for key in replaced {
             self.drop_ended_worker(now, &key, now);
-            if let Some(worker) = self.workers.get_mut(&key) {
-                worker.is_gone = true;
-            }
         }
     }
 
@@ -91,7 +72,7 @@
             let Some(key) = &worker.report.vm else { return false };
             // The list lags and may not show a worker that has just started. One that has started listens at its address.
             let is_old = worker.known_since + VM_LIST_LAG < requested || worker.refuses_connections;
-            let is_silent = !worker.is_listed || !worker.is_reachable(now);
+            let is_silent = !worker.is_listed() || !worker.is_reachable(now);
             let has_ended = match by_key.get(key) {
                 Some(vm) => {
                     let has_other = vm.worker.as_ref().is_some_and(|w| *w != worker.report.key);
@@ -103,21 +84,14 @@
             };
             is_old && has_ended && !worker.is_outdated(requested)
         };
-        let is_down = |worker: &Worker| {
-            worker.report.vm.as_ref().and_then(|key| by_key.get(key)).is_some_and(|vm| vm.state == VmState::Down)
-        };
-        let gone: Vec<(WorkerKey, bool)> =
-            self.workers.values().filter(is_gone).map(|w| (w.report.key.clone(), is_down(w))).collect();
-        for (key, is_down) in gone {
-            if self.workers.get(&key).is_some_and(|w| !w.is_gone) {
-                if is_down {
-                    self.drop_crashed_worker(now, &key);
-                } else {
-                    self.drop_ended_worker(now, &key, requested);
-                }
-            }
-            if let Some(worker) = self.workers.get_mut(&key) {
-                worker.is_gone = true;
+        let gone: Vec<WorkerKey> =
+            self.workers.values().filter(|w| !w.is_gone).filter(is_gone).map(|w| w.report.key.clone()).collect();
+        for key in gone {
+            let vm = self.workers.get(&key).and_then(|w| w.report.vm.as_ref());
+            if vm.and_then(|vm| by_key.get(vm)).is_some_and(|vm| vm.state == VmState::Down) {
+                self.drop_crashed_worker(now, &key);
+            } else {
+                self.drop_ended_worker(now, &key, requested);
             }
         }
     }
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -358,19 +358,17 @@
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
         let size = job.reserved(name.step);
         let team = job.spec.team.clone();
-        let (serving, best_effort) = job.kinds(name.step);
-        let is_lasting = job.spec.steps.get(name.step as usize).is_some_and(|s| s.lasting);
-        let Some(task) = job.task_mut(name) else { return };
-        task.last_run = task.last_run.max(run.number);
-        if let Some(worker) = self.workers.get_mut(&run.worker) {
-            worker.used += size;
-            if is_lasting {
-                worker.used_by_lasting += size;
-            }
-            worker.serving += u32::from(serving);
-            worker.best_effort += u32::from(best_effort);
+        if job.task(name).is_none() {
+            return;
+        }
+        if let Some(worker) = self.workers.get_mut(&run.worker)
+            && let Some(step) = job.spec.steps.get(name.step as usize)
+        {
+            worker.reserve(step);
             worker.runs.insert(name.clone(), run.number);
         }
+        let Some(task) = job.task_mut(name) else { return };
+        task.last_run = task.last_run.max(run.number);
         task.runs.push(run);
         if let Some(team) = team {
             *self.team_usage.entry(team).or_default() += size;
@@ -382,18 +380,13 @@
         let job = self.jobs.get_mut(&name.job)?;
         let size = job.reserved(name.step);
         let team = job.spec.team.clone();
-        let (serving, best_effort) = job.kinds(name.step);
-        let is_lasting = job.spec.steps.get(name.step as usize).is_some_and(|s| s.lasting);
         let task: &mut Task = job.task_mut(name)?;
         let at = task.runs.iter().position(|r| r.number == number)?;
         let run = task.runs.remove(at);
-        if let Some(worker) = self.workers.get_mut(&run.worker) {
-            worker.used -= size;
-            if is_lasting {
-                worker.used_by_lasting -= size;
-            }
-            worker.serving = worker.serving.saturating_sub(u32::from(serving));
-            worker.best_effort = worker.best_effort.saturating_sub(u32::from(best_effort));
+        if let Some(worker) = self.workers.get_mut(&run.worker)
+            && let Some(step) = job.spec.steps.get(name.step as usize)
+        {
+            worker.release(step);
             if worker.runs.get(name) == Some(&number) {
                 worker.runs.remove(name);
             }
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -5,7 +5,7 @@
 use smol_str::SmolStr;
 
 use crate::map::Map;
-use crate::sched::graph::{JobKey, Resources, TaskName};
+use crate::sched::graph::{JobKey, Resources, Step, TaskName};
 use crate::sched::order::WorkerReport;
 use crate::units::{Millis, MonoTime};
 
@@ -51,11 +51,10 @@
 pub struct Worker {
     /// Its last worker report: what the worker's own entry in the store says.
     pub report: WorkerReport,
-    /// Whether it has a report in the store and is not known to have ended.
-    pub is_listed: bool,
     /// Whether it has a report in the store.
     pub is_reported: bool,
-    /// Whether the list of VMs or another worker on its VM showed that it has ended.
+    /// Whether it has ended and has not answered since: the list of VMs, another worker on its VM or an answer at its
+    /// address showed it.
     pub is_gone: bool,
     /// Time since which this scheduler knows its present incarnation.
     pub known_since: MonoTime,
@@ -104,12 +103,11 @@
 impl Worker {
     /// Creates a worker that has a report in the store or is in the recovery set.
     #[must_use]
-    pub fn new(report: WorkerReport, is_listed: bool, now: MonoTime) -> Self {
+    pub fn new(report: WorkerReport, is_reported: bool, now: MonoTime) -> Self {
         Self {
             incarnation: report.incarnation,
             report,
-            is_listed,
-            is_reported: is_listed,
+            is_reported,
             is_gone: false,
             known_since: now,
             is_arrival: false,
@@ -149,6 +147,26 @@
         self.report.capacity.without(&self.used_by_lasting)
     }
 
+    /// Reserves the resources of a task of a step.
+    pub fn reserve(&mut self, step: &Step) {
+        self.used += step.reserved();
+        if step.lasting {
+            self.used_by_lasting += step.reserved();
+        }
+        self.serving += u32::from(step.target.is_some());
+        self.best_effort += u32::from(step.fills);
+    }
+
+    /// Releases the resources of a task of a step.
+    pub fn release(&mut self, step: &Step) {
+        self.used -= step.reserved();
+        if step.lasting {
+            self.used_by_lasting -= step.reserved();
+        }
+        self.serving = self.serving.saturating_sub(u32::from(step.target.is_some()));
+        self.best_effort = self.best_effort.saturating_sub(u32::from(step.fills));
+    }
+
     /// Whether it has a label.
     #[must_use]
     pub fn has_label(&self, label: &SmolStr) -> bool {
@@ -161,11 +179,17 @@
         self.report.labels.get(1)
     }
 
+    /// Whether it has a report in the store and is not known to have ended.
+    #[must_use]
+    pub const fn is_listed(&self) -> bool {
+        self.is_reported && !self.is_gone
+    }
+
     /// Whether it is listed, not cordoned, not shutting down and not in an evacuated data centre, so that it can get
     /// tasks.
     #[must_use]
     pub const fn is_schedulable(&self) -> bool {
-        self.is_listed && !self.is_cordoned && !self.must_get_no_starts()
+        self.is_listed() && !self.is_cordoned && !self.must_get_no_starts()
     }
 
     /// Whether it is schedulable and has answered this scheduler.
--- a/crates/core/tests/sched/restarts.rs
+++ b/crates/core/tests/sched/restarts.rs
@@ -167,7 +167,7 @@
     for _ in 0..20 {
         model.scheduler.tick(model.time());
         model.register_workers();
-        assert!(model.scheduler.worker(&key).is_some_and(|w| w.is_gone && !w.is_listed));
+        assert!(model.scheduler.worker(&key).is_some_and(|w| w.is_gone && !w.is_listed()));
         model.run_for(200);
     }
     assert_eq!(model.scheduler.take_unpolled(), [], "its polls go on");
@@ -175,3 +175,23 @@
     model.scheduler.tick(model.time());
     assert!(model.scheduler.worker(&key).is_none(), "it has no report any more");
 }
+
+/// Guards against the same for a worker whose address another one has: each poll shows that it has ended, and it would be
+/// added again each second.
+#[test]
+fn worker_whose_address_another_one_has_is_known_while_it_has_a_report() {
+    let mut model = Model::new(2);
+    let key = report(0).key;
+    model.worker_mut(0).is_partitioned = true;
+    for _ in 0..20 {
+        let now = MonoTime(model.now);
+        model.scheduler.drop_ended_worker(now, &key, now);
+        model.scheduler.tick(model.time());
+        model.register_workers();
+        assert!(model.scheduler.worker(&key).is_some_and(|w| w.is_gone && !w.is_listed()));
+        model.run_for(200);
+    }
+    model.worker_mut(0).is_partitioned = false;
+    model.poll(&key);
+    assert!(model.scheduler.worker(&key).is_some_and(|w| w.is_listed()), "it has started again under its id");
+}
