Confirm a term only by entries that have lost the store too

A scheduler without the store counted its term as confirmed whenever relief was not granted: also when none of the entries that it asked runs, or one knew another scheduler but the term was young. None of these says that no later term has begun, and waves went on for 2 s on that ground.

The core judges the answers: only an entry that answers that it has lost the store confirms the term.

--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -5,7 +5,7 @@
 
 use async_std::task;
 use carawaybarrow_core::Map;
-use carawaybarrow_core::sched::candidacy::HANDOVER_AGE;
+use carawaybarrow_core::sched::candidacy::{HANDOVER_AGE, ReliefOutcome};
 use carawaybarrow_core::sched::graph::JobKey;
 use carawaybarrow_core::sched::order::FencingToken;
 use carawaybarrow_core::sched::progress::{JobRecord, Progress};
@@ -15,7 +15,7 @@
 use carawaybarrow_platform::store::{Change, ChangeOutcome, Item, LeaseId, StoreError, StoreRevision};
 use snafu::Snafu;
 
-use crate::node::peers::{ReliefOutcome, SchedulerClient};
+use crate::node::peers::SchedulerClient;
 use crate::node::records::{
     self, JOB_PREFIX, JobItem, LAST_SCHEDULER_KEY, Owner, PROGRESS_PREFIX, RECOVERY_SET_KEY, RELEASED_TERM_KEY,
     SCHEDULER_KEY, TERM_COUNT_KEY,
@@ -275,7 +275,8 @@
                         ReliefOutcome::Granted => return term.end("the store is lost and another entry takes over"),
                         ReliefOutcome::Deposed => return term.end("another entry knows that the term is over"),
                         ReliefOutcome::CutOff => return term.end("the store and the other entries are lost"),
-                        ReliefOutcome::Refused => term.record_confirmation(asked),
+                        ReliefOutcome::StoreLost => term.record_confirmation(asked),
+                        ReliefOutcome::Unknown => {}
                     }
                 }
                 task::sleep(RENEW_RETRY_PAUSE).await;
--- a/crates/carawaybarrow/src/node/peers.rs
+++ b/crates/carawaybarrow/src/node/peers.rs
@@ -6,15 +6,15 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
+use carawaybarrow_core::sched::candidacy::{ReliefAnswer, ReliefOutcome};
 use carawaybarrow_core::sched::graph::{JobKey, QueueName};
 use carawaybarrow_core::sched::progress::{JobRecord, JobState};
-use carawaybarrow_core::units::Millis;
 use carawaybarrow_platform::store::LeaseId;
 use http_types::Method;
 use serde::{Deserialize, Serialize};
 use tide::{Request, Response, StatusCode};
 
-use crate::http_client::{Call, CallError, Client};
+use crate::http_client::{Call, Client};
 use crate::node::election;
 use crate::node::records::{self, Owner};
 use crate::node::term::Term;
@@ -33,10 +33,6 @@
 /// Number of entries that a scheduler asks for relief at the same time.
 const RELIEF_ATTEMPTS: usize = 3;
 
-/// Age of a term from which another entry that knows a different scheduler knows a later one. It is longer than the age
-/// of what an entry knows that has just heard from the store.
-const MIN_DEPOSED_AGE: Millis = Millis(1_000);
-
 /// Time for which a new scheduler tells its predecessor that the earlier term is over. It covers the time in which the
 /// successor waits for workers that have not answered.
 const DEPOSE_LIMIT: Duration = Duration::from_secs(10);
@@ -44,19 +40,6 @@
 /// Pause before a call to a predecessor is repeated.
 const DEPOSE_PAUSE: Duration = Duration::from_millis(200);
 
-/// What other entries say about the term of a scheduler that has lost the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReliefOutcome {
-    /// One has ended the lease and takes over.
-    Granted,
-    /// One has just heard from the store that the term is over.
-    Deposed,
-    /// None answered, although at least one may run. The scheduler may be cut off, and another entry may take over.
-    CutOff,
-    /// Those that answered have lost the store too, or none runs.
-    Refused,
-}
-
 /// Request of a scheduler that has lost the store.
 #[derive(Debug, Serialize, Deserialize)]
 struct Relief {
@@ -158,30 +141,18 @@
         let skipped = round * RELIEF_ATTEMPTS % peers.len().max(1);
         peers.rotate_left(skipped);
         peers.truncate(RELIEF_ATTEMPTS);
-        let ask = |peer: &SocketAddr| {
-            let peer = *peer;
-            let call = &call;
-            async move { (peer, self.client.call(peer, call, RELIEF_TIMEOUT).await) }
-        };
-        let answers = futures::future::join_all(peers.iter().map(ask)).await;
-        for (peer, answer) in &answers {
-            let text = match answer {
-                Ok(reply) => format!("status {}", reply.status),
-                Err(e) => e.to_string(),
+        let ask = async |peer: &SocketAddr| {
+            let reply = self.client.call(*peer, &call, RELIEF_TIMEOUT).await;
+            let (answer, text) = match reply {
+                Ok(reply) => (read_relief_answer(reply.status), format!("status {}", reply.status)),
+                Err(e) if e.is_refused() => (ReliefAnswer::NotRunning, e.to_string()),
+                Err(e) => (ReliefAnswer::Silent, e.to_string()),
             };
             log::warn!(peer:% = peer, term = term.owner.term, answer = text; "the store is lost; relief requested");
-        }
-        let has_status = |status| answers.iter().any(|(_, a)| a.as_ref().is_ok_and(|reply| reply.status == status));
-        let is_silent = |answer: &Result<_, CallError>| answer.as_ref().is_err_and(|e| !e.is_refused());
-        if has_status(StatusCode::Ok as u16) {
-            ReliefOutcome::Granted
-        } else if has_status(StatusCode::Conflict as u16) && term.age() >= MIN_DEPOSED_AGE {
-            ReliefOutcome::Deposed
-        } else if answers.iter().all(|(_, a)| a.is_err()) && answers.iter().any(|(_, a)| is_silent(a)) {
-            ReliefOutcome::CutOff
-        } else {
-            ReliefOutcome::Refused
-        }
+            answer
+        };
+        let answers = futures::future::join_all(peers.iter().map(ask)).await;
+        ReliefOutcome::judge(&answers, term.age())
     }
 
     /// Tells the scheduler of an earlier term that a later one has begun, until it answers. It may have lost the store,
@@ -281,6 +252,15 @@
     }
 }
 
+/// Meaning of a status that [`relieve`] answers.
+const fn read_relief_answer(status: u16) -> ReliefAnswer {
+    match status {
+        200 => ReliefAnswer::Ended,
+        409 => ReliefAnswer::OtherTerm,
+        _ => ReliefAnswer::NoStore,
+    }
+}
+
 /// Ends the lease of a scheduler that has lost the store, and probes the store at once to take over. An entry that has
 /// not just heard from the store refuses, as the store may be lost for all.
 async fn relieve(mut req: Request<Arc<View>>) -> tide::Result {
--- a/crates/core/src/sched/candidacy.rs
+++ b/crates/core/src/sched/candidacy.rs
@@ -24,6 +24,10 @@
     pub link_kbps: u64,
 }
 
+/// Age of a term from which another entry that knows a different scheduler knows a later one. It is longer than the age
+/// of what an entry knows that has just heard from the store.
+const MIN_DEPOSED_AGE: Millis = Millis(1_000);
+
 impl Strength {
     /// Whether this entry has clearly more CPU than the other, and at least its bandwidth.
     #[must_use]
@@ -43,3 +47,53 @@
         if others.iter().any(|other| other.is_clearly_stronger_than(self)) { TAKEOVER_DELAY } else { Millis(0) }
     }
 }
+
+/// Answer of another entry to a request for relief: that it ends the lease of a scheduler without the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReliefAnswer {
+    /// It has ended the lease and takes over.
+    Ended,
+    /// It has just heard from the store, which names another scheduler or none.
+    OtherTerm,
+    /// It has lost the store too, or can't tell.
+    NoStore,
+    /// Its process does not run.
+    NotRunning,
+    /// No answer came.
+    Silent,
+}
+
+/// What the answers to requests for relief mean for the term of a scheduler that has lost the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReliefOutcome {
+    /// Another entry has ended the lease and takes over.
+    Granted,
+    /// The term is over.
+    Deposed,
+    /// No entry answered, although at least one may run. The scheduler may be cut off, and another entry may take over.
+    CutOff,
+    /// Other entries have lost the store too.
+    StoreLost,
+    /// The answers tell nothing.
+    Unknown,
+}
+
+impl ReliefOutcome {
+    /// Judges the answers to requests that were sent at the same time, when the term was as old as `term_age`.
+    #[must_use]
+    pub fn judge(answers: &[ReliefAnswer], term_age: Millis) -> Self {
+        let has = |answer| answers.contains(&answer);
+        if has(ReliefAnswer::Ended) {
+            Self::Granted
+        } else if has(ReliefAnswer::OtherTerm) {
+            // An entry may not have heard of a term that has just begun.
+            if term_age >= MIN_DEPOSED_AGE { Self::Deposed } else { Self::Unknown }
+        } else if has(ReliefAnswer::NoStore) {
+            Self::StoreLost
+        } else if has(ReliefAnswer::Silent) {
+            Self::CutOff
+        } else {
+            Self::Unknown
+        }
+    }
+}
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -10,6 +10,7 @@
 mod overlap;
 mod peaks;
 mod random;
+mod relief;
 mod removed_queues;
 mod restarts;
 mod takeover;
