--- a/crates/core/tests/sched/capacity.rs
+++ b/crates/core/tests/sched/capacity.rs
@@ -1,49 +1,18 @@
 //! Sizes of pools, maintenance waves and the platform's list of VMs.
 
 use carawaybarrow_core::sched::balance::BalanceState;
-use carawaybarrow_core::sched::graph::{PoolName, Resources, VmKey};
-use carawaybarrow_core::sched::maintenance::{Vm, VmAnswer, VmState, Wave, WaveProgress, WaveRequest};
+use carawaybarrow_core::sched::graph::{PoolName, VmKey};
+use carawaybarrow_core::sched::maintenance::{VmAnswer, VmState, Wave, WaveProgress, WaveRequest};
 use carawaybarrow_core::units::{Millis, MonoTime};
 
-use super::model::{Model, job, step};
-
-fn list_vms(model: &Model) -> Vec<Vm> {
-    let vm = |report: &carawaybarrow_core::sched::order::WorkerReport| Vm {
-        key: report.vm.clone().expect("workers of the model have a VM"),
-        pool: report.pool.clone(),
-        state: VmState::Up,
-        data_centre: "z".into(),
-        capacity: report.capacity,
-        worker: Some(report.key.clone()),
-    };
-    model.workers.values().map(|w| vm(&w.report)).collect()
-}
-
-fn standby_vms(count: usize) -> Vec<Vm> {
-    let vm = |n| Vm {
-        key: VmKey::new(format!("s{n}")),
-        pool: PoolName::new("spare"),
-        state: VmState::Up,
-        data_centre: "z".into(),
-        capacity: Resources { cpu: 4_000, memory_mb: 8_000, accelerators: 0 },
-        worker: None,
-    };
-    (0..count).map(vm).collect()
-}
-
-fn set_standby_pool(model: &mut Model) {
-    let mut policy = super::model::policy();
-    policy.version = 2;
-    policy.standby = Some(PoolName::new("spare"));
-    model.scheduler.set_policy(std::sync::Arc::new(policy));
-}
+use super::model::{Model, job, standby_vms, step};
 
 /// Guards against a lasting task that gets no worker because VMs that drain or are under maintenance count as capacity
 /// of the pool. Such VMs take no tasks, so a VM has to come from standby.
 #[test]
 fn unavailable_vms_are_no_capacity_for_lasting_tasks() {
     let mut model = Model::new(3);
-    set_standby_pool(&mut model);
+    model.set_standby_pool();
     let mut lasting = step(3, 1_000);
     lasting.lasting = true;
     lasting.max_per_worker = Some(1);
@@ -55,7 +24,7 @@
     model.register_workers();
     model.run_for(500);
     assert_eq!(model.count_running(), 2, "the task on the draining worker was stopped");
-    let mut listed = list_vms(&model);
+    let mut listed = model.list_vms();
     listed.extend(standby_vms(2));
     let moves = model.scheduler.plan_moves(MonoTime(model.now), &mut BalanceState::default(), &listed);
     assert!(moves.iter().any(|m| m.pool == PoolName::new("p")), "{moves:?}");
@@ -65,12 +34,12 @@
 #[test]
 fn standby_vms_move_to_a_pool_with_a_backlog() {
     let mut model = Model::new(2);
-    set_standby_pool(&mut model);
+    model.set_standby_pool();
     let mut balance = BalanceState::default();
     model.work_ms = 2_000;
     model.accept("j", job(vec![step(40, 1_000)]));
     model.run_for(300);
-    let mut listed = list_vms(&model);
+    let mut listed = model.list_vms();
     listed.extend(standby_vms(3));
     let moves = model.scheduler.plan_moves(MonoTime(model.now), &mut balance, &listed);
     assert_eq!(moves.iter().filter(|m| m.pool == PoolName::new("p")).count(), 3, "{moves:?}");
@@ -82,14 +51,14 @@
 #[test]
 fn moves_follow_the_size_of_the_fleet_and_the_platforms_rate_limit() {
     let mut model = Model::new(20);
-    set_standby_pool(&mut model);
+    model.set_standby_pool();
     let mut balance = BalanceState::default();
     model.work_ms = 5_000;
     for number in 0..20 {
         model.accept(&format!("j{number}"), job(vec![step(40, 1_000)]));
     }
     model.run_for(300);
-    let mut listed = list_vms(&model);
+    let mut listed = model.list_vms();
     listed.extend(standby_vms(180));
     let first = model.scheduler.plan_moves(MonoTime(model.now), &mut balance, &listed).len();
     assert_eq!(first, 51, "80 percent of the 64 orders that are accepted in a second");
@@ -116,7 +85,7 @@
     let mut wave = Wave::new(request, model.time(), &progress);
     let mut ordered = Vec::new();
     for _ in 0..400 {
-        let listed = list_vms(&model);
+        let listed = model.list_vms();
         for vm in model.scheduler.advance_wave(MonoTime(model.now), &mut wave, &listed) {
             assert!(wave.down() <= 2);
             model.scheduler.apply_maintenance_answer(MonoTime(model.now), &mut wave, &vm, VmAnswer::Accepted);
@@ -143,7 +112,7 @@
     let progress = WaveProgress { started: model.time().wall, ordered: done.clone() };
     let mut wave = Wave::new(wave_request(&model, 4), model.time(), &progress);
     for _ in 0..100 {
-        let listed = list_vms(&model);
+        let listed = model.list_vms();
         for vm in model.scheduler.advance_wave(MonoTime(model.now), &mut wave, &listed) {
             assert!(!done.contains(&vm), "{vm} is ordered down again");
             model.scheduler.apply_maintenance_answer(MonoTime(model.now), &mut wave, &vm, VmAnswer::Accepted);
@@ -161,7 +130,7 @@
     model.run_for(300);
     let progress = WaveProgress { started: model.time().wall, ordered: Vec::new() };
     let mut wave = Wave::new(wave_request(&model, 1), model.time(), &progress);
-    let mut listed = list_vms(&model);
+    let mut listed = model.list_vms();
     let ordered_before = listed.iter_mut().find(|vm| vm.key == VmKey::new("m2")).expect("the VM is listed");
     ordered_before.state = VmState::Maintenance;
     for _ in 0..100 {
@@ -170,7 +139,7 @@
         model.run_for(50);
     }
     let ordered = (0..100).find_map(|_| {
-        let ordered = model.scheduler.advance_wave(MonoTime(model.now), &mut wave, &list_vms(&model));
+        let ordered = model.scheduler.advance_wave(MonoTime(model.now), &mut wave, &model.list_vms());
         model.run_for(50);
         ordered.first().cloned()
     });
@@ -191,7 +160,7 @@
     let progress = WaveProgress { started: model.time().wall, ordered: Vec::new() };
     let mut wave = Wave::new(wave_request(&model, 6), model.time(), &progress);
     for _ in 0..200 {
-        let listed = list_vms(&model);
+        let listed = model.list_vms();
         for vm in model.scheduler.advance_wave(MonoTime(model.now), &mut wave, &listed) {
             model.scheduler.apply_maintenance_answer(MonoTime(model.now), &mut wave, &vm, VmAnswer::Accepted);
         }
@@ -215,7 +184,7 @@
     let holder = usize::from(model.worker_mut(0).runs.is_empty());
     model.worker_mut(holder).is_partitioned = true;
     model.worker_mut(holder).runs.clear();
-    let mut listed = list_vms(&model);
+    let mut listed = model.list_vms();
     for vm in &mut listed {
         if vm.worker.as_ref() == Some(&model.worker_mut(holder).report.key) {
             vm.state = VmState::Down;
@@ -235,7 +204,7 @@
     model.work_ms = 20_000;
     model.accept("j", job(vec![step(1, 1_000)]));
     model.run_for(500);
-    let mut listed = list_vms(&model);
+    let mut listed = model.list_vms();
     listed[0].state = VmState::Down;
     let now = MonoTime(model.now);
     model.scheduler.apply_vm_list(now, now, &listed);
@@ -259,7 +228,7 @@
     request.vms.retain(|vm| *vm == VmKey::new(format!("m{holder}")));
     let mut wave = Wave::new(request, model.time(), &progress);
     for _ in 0..80 {
-        let listed = list_vms(&model);
+        let listed = model.list_vms();
         for vm in model.scheduler.advance_wave(MonoTime(model.now), &mut wave, &listed) {
             model.scheduler.apply_maintenance_answer(MonoTime(model.now), &mut wave, &vm, VmAnswer::Accepted);
             model.run_scheduler();
--- a/crates/core/tests/sched/hopeless.rs
+++ b/crates/core/tests/sched/hopeless.rs
@@ -1,12 +1,11 @@
 //! Jobs whose tasks can't run must not delay the others.
 
 use carawaybarrow_core::sched::balance::BalanceState;
-use carawaybarrow_core::sched::graph::{PoolName, Resources, Step, VmKey};
-use carawaybarrow_core::sched::maintenance::{Vm, VmState};
+use carawaybarrow_core::sched::graph::Step;
 use carawaybarrow_core::sched::progress::JobState;
 use carawaybarrow_core::units::MonoTime;
 
-use super::model::{Model, job, policy, step};
+use super::model::{Model, job, standby_vms, step};
 
 fn lasting(count: u32, cpu: u64) -> Step {
     Step { lasting: true, ..step(count, cpu) }
@@ -59,27 +58,11 @@
 fn tasks_that_fit_on_no_vm_move_no_vm() {
     for hopeless in [lasting(8, 5_000), step(8, 5_000)] {
         let mut model = Model::new(2);
-        let mut policy = policy();
-        policy.version = 2;
-        policy.standby = Some(PoolName::new("spare"));
-        model.scheduler.set_policy(std::sync::Arc::new(policy));
+        model.set_standby_pool();
         model.accept("hopeless", job(vec![hopeless]));
         model.run_for(500);
-        let vm = |number: usize| Vm {
-            key: VmKey::new(format!("s{number}")),
-            pool: PoolName::new("spare"),
-            state: VmState::Up,
-            data_centre: "z".into(),
-            capacity: Resources { cpu: 4_000, memory_mb: 8_000, accelerators: 0 },
-            worker: None,
-        };
-        let mut listed: Vec<Vm> = (0..4).map(vm).collect();
-        listed.extend(model.workers.values().map(|w| Vm {
-            key: w.report.vm.clone().expect("workers of the model have a VM"),
-            worker: Some(w.report.key.clone()),
-            pool: w.report.pool.clone(),
-            ..vm(0)
-        }));
+        let mut listed = model.list_vms();
+        listed.extend(standby_vms(4));
         let moves = model.scheduler.plan_moves(MonoTime(model.now), &mut BalanceState::default(), &listed);
         assert_eq!(moves, []);
     }
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -6,6 +6,7 @@
 mod hopeless;
 mod lifecycle;
 mod model;
+mod model_worker;
 mod odd_entries;
 mod overlap;
 mod peaks;
--- a/crates/core/tests/sched/restarts.rs
+++ b/crates/core/tests/sched/restarts.rs
@@ -10,18 +10,9 @@
 
 /// List of VMs that shows the VM of one worker as down and the others as up.
 fn list_with_down_vm(model: &Model, down: usize) -> Vec<Vm> {
-    let vm = |number: usize| {
-        let report = report(number);
-        Vm {
-            key: report.vm.expect("each worker of the model has a VM"),
-            pool: report.pool,
-            state: if number == down { VmState::Down } else { VmState::Up },
-            data_centre: report.data_centre,
-            capacity: report.capacity,
-            worker: Some(report.key),
-        }
-    };
-    (0..model.workers.len()).map(vm).collect()
+    let mut listed = model.list_vms();
+    listed[down].state = VmState::Down;
+    listed
 }
 
 /// Plans once before the workers answer again, and then for a while. Checks that the one task has no second run.
--- a/crates/core/tests/sched/takeover.rs
+++ b/crates/core/tests/sched/takeover.rs
@@ -6,7 +6,8 @@
 use carawaybarrow_core::sched::progress::JobState;
 use carawaybarrow_core::units::{Millis, MonoTime};
 
-use super::model::{Model, ModelRun, job, step};
+use super::model::{Model, job, step};
+use super::model_worker::ModelRun;
 
 /// Guards against tasks that are started again although their runs of the previous term continue.
 #[test]
