Let an entry serve other entries on an address of its own

Behind a port forwarder the address that other entries use is not the one on which the entry listens.

--- a/crates/carawaybarrow/src/node/run.rs
+++ b/crates/carawaybarrow/src/node/run.rs
@@ -80,7 +80,7 @@
     peers::add_routes(&mut peer_app);
     key_writes::add_routes(&mut peer_app);
     // A server listens until its handle is dropped.
-    let peer_server = http_server::listen(settings.peers, peer_app, Limits::new(PEER_BODY_BYTES)).await?;
+    let peer_server = http_server::listen(settings.peers_listen, peer_app, Limits::new(PEER_BODY_BYTES)).await?;
 
     let mut ready_app = tide::with_state(Arc::clone(&view));
     ready_app.at(READINESS_PATH).get(answer_readiness);
