Cut entries off from each other in the soak test

A proxy before an entry's address for other entries has a path for each caller, which it knows from the header x-client. Installation::divide cuts off a side of the entries, also from the store and from workers. The new test scheduler_beside_one_more_entry_doubles_nothing fails on this code: tasks run twice while the scheduler and one more entry are cut off.

The faults of the soak test move to tests/soak_faults.

--- a/crates/carawaybarrow/tests/installation/mod.rs
+++ b/crates/carawaybarrow/tests/installation/mod.rs
@@ -1,6 +1,8 @@
 //! An installation of `carawaybarrow node` processes against stand-ins for the platform in the test's process.
 #![allow(dead_code, reason = "each test file uses some of the helpers")]
 
+pub mod divisions;
+
 use std::fs::{self, File};
 use std::net::{IpAddr, SocketAddr};
 use std::ops::Range;
@@ -13,9 +15,11 @@
 use carawaybarrow_net::server::Handle;
 use carawaybarrow_standin::caller::{Answer, Caller, Job};
 use carawaybarrow_standin::checker::ObservedJob;
+use carawaybarrow_standin::proxy::caller_proxy::CallerProxy;
 use carawaybarrow_standin::proxy::{PathState, Proxy};
 use carawaybarrow_standin::settings::{
-    CALLERS_PORT, PATH_VARIABLE, entry_settings, vm_api_settings, write_configuration,
+    CALLERS_PORT, PATH_VARIABLE, PEERS_PORT, behind_forwarder, entry_settings, in_data_centre, vm_api_settings,
+    write_configuration,
 };
 use carawaybarrow_standin::store::{self, Store};
 use carawaybarrow_standin::vms::VmApi;
@@ -35,6 +39,9 @@
 /// Attempts of a caller to submit a job.
 const ATTEMPTS: usize = 6;
 
+/// Port on which an entry serves other entries behind its proxy.
+const FORWARDED_PORT: u16 = 7_010;
+
 const POOL: &str = "pool";
 
 /// API key of all callers.
@@ -47,10 +54,13 @@
     pub workers: usize,
     /// Time that the VM API takes for a list; `None` for an installation without a VM API.
     pub vm_api_delay: Option<Duration>,
+    /// Number of data centres, over which entries are spread in turn. With more than one, entries call each other through
+    /// proxies, so that they can be cut off from each other.
+    pub data_centres: u8,
 }
 
 impl Size {
-    pub const SMALL: Self = Self { entries: 3, workers: 6, vm_api_delay: None };
+    pub const SMALL: Self = Self { entries: 3, workers: 6, vm_api_delay: None, data_centres: 1 };
 }
 
 /// An entry process. It is killed on drop.
@@ -61,6 +71,8 @@
     log: PathBuf,
     /// Its path to the store.
     pub store_proxy: Proxy,
+    /// Proxy through which other entries call it, if there is one.
+    pub peer_proxy: Option<CallerProxy>,
     child: Option<Child>,
 }
 
@@ -115,6 +127,8 @@
     pub entries: Vec<Arc<Mutex<Entry>>>,
     /// Folder of the settings and logs.
     pub folder: PathBuf,
+    /// Number of data centres.
+    pub data_centres: u8,
     /// Servers of the stand-ins, which run until they are dropped.
     servers: Vec<Handle>,
 }
@@ -156,18 +170,27 @@
             if let Some(address) = vm_api {
                 text.push_str(&vm_api_settings(address));
             }
+            let mut peer_proxy = None;
+            if size.data_centres > 1 {
+                let data_centre = char::from(b'a' + entry_index % size.data_centres).to_string();
+                let forwarded = SocketAddr::new(ip, FORWARDED_PORT);
+                text = behind_forwarder(&in_data_centre(&text, &data_centre), forwarded);
+                peer_proxy = Some(CallerProxy::start(SocketAddr::new(ip, PEERS_PORT), forwarded));
+            }
             fs::write(&settings, text).expect("the settings can be written");
             let mut entry = Entry {
                 address: SocketAddr::new(ip, CALLERS_PORT),
                 settings,
                 log: folder.join(format!("e{entry_index}.log")),
                 store_proxy,
+                peer_proxy,
                 child: None,
             };
             entry.start();
             entries.push(Arc::new(Mutex::new(entry)));
         }
-        Self { store, fleet, worker_proxies, entries, folder, servers }
+        divisions::follow_processes(&entries);
+        Self { store, fleet, worker_proxies, entries, folder, data_centres: size.data_centres, servers }
     }
 
     /// Addresses of the entries for callers.
@@ -214,6 +237,7 @@
         for entry in &self.entries {
             let entry = entry.lock().expect("the lock is not poisoned");
             entry.store_proxy.set_path_state(PathState::Open);
+            entry.peer_proxy.iter().for_each(CallerProxy::open);
             entry.signal("CONT");
         }
     }
--- a/crates/carawaybarrow/tests/soak.rs
+++ b/crates/carawaybarrow/tests/soak.rs
@@ -3,27 +3,27 @@
 //! workers and the responses that callers received.
 //!
 //! `SOAK_SEEDS=100..150 cargo test --release --test soak -- --nocapture` runs other seeds, and `SOAK_OUTAGE_SEEDS` those
-//! of long outages. `SOAK_SEEDS_AT_ONCE` sets how many seeds run at the same time.
+//! of long outages and `SOAK_DIVISION_SEEDS` those of divisions. `SOAK_SEEDS_AT_ONCE` sets how many seeds run at the same time.
 
 mod installation;
+mod soak_faults;
 
+use std::collections::BTreeSet;
 use std::fs;
-use std::ops::Range;
-use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use async_std::task;
 use carawaybarrow_standin::caller::{Caller, Job};
 use carawaybarrow_standin::checker::find_violations;
-use carawaybarrow_standin::proxy::{PathState, Proxy};
-use carawaybarrow_standin::store;
-use carawaybarrow_standin::workers::{self, EndReason, Reach};
+use carawaybarrow_standin::proxy::PathState;
+use carawaybarrow_standin::workers::{self, EndReason};
 use rand::rngs::StdRng;
-use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
+use installation::divisions::{Direction, Division};
 use installation::{Installation, KEY, Size, restart};
+use soak_faults::{SHORT_RUN_TIME_MS, Scenario, inject_path_fault, isolate_scheduler};
 
 /// Seeds of the run in CI.
 const SEEDS: [u64; 2] = [3, 4];
@@ -36,12 +36,6 @@
 /// Number of seeds that run at the same time, each with three processes.
 const SEEDS_AT_ONCE: usize = 6;
 
-/// Run time of short tasks in ms.
-const SHORT_RUN_TIME_MS: Range<u64> = 50..500;
-
-/// Time during which faults are injected.
-const FAULT_DURATION: Duration = Duration::from_secs(8);
-
 /// Seeds of the run in CI with outages. They found faults. 512: a scheduler without the store went on beside its
 /// successor. 520: the successor did not know the scheduler of the last term. No other seed of this file may give the
 /// same addresses, see [`HANDOVER_SEED`].
@@ -50,8 +44,11 @@
 /// Number of seeds with outages that run at the same time, each with up to nine processes.
 const OUTAGE_SEEDS_AT_ONCE: usize = 3;
 
-/// Time during which outages are injected. The longest is 30 s.
-const OUTAGES_DURATION: Duration = Duration::from_secs(45);
+/// Seeds of the run in CI with divisions.
+const DIVISION_SEEDS: [u64; 2] = [600, 601];
+
+/// Number of seeds with divisions that run at the same time, each with up to nine processes.
+const DIVISION_SEEDS_AT_ONCE: usize = 2;
 
 /// Maximum time until a new installation accepts its first job.
 const START_LIMIT: Duration = Duration::from_secs(10);
@@ -67,245 +64,14 @@
 /// Time for which the scheduler is isolated. Its successor waits 7.6 s for workers that do not answer.
 const ISOLATION_DURATION: Duration = Duration::from_secs(14);
 
+/// Seed of the installation whose scheduler is cut off together with one more entry. As for [`HANDOVER_SEED`], no seed of
+/// the soak test may give the same addresses.
+const COMPANION_SEED: u64 = 240;
+
 /// Seed of the installation whose schedulers lose the store. As for [`HANDOVER_SEED`], no seed of the soak test may give
 /// the same addresses.
 const STORE_LOSS_SEED: u64 = 248;
 
-/// Injects a random fault, which ends by itself, and returns its description.
-fn inject_fault(installation: &Installation, rng: &mut StdRng) -> String {
-    let duration = Duration::from_millis(rng.random_range(200..2_200));
-    let entry_index = rng.random_range(0..installation.entries.len());
-    let entry = Arc::clone(&installation.entries[entry_index]);
-    let worker_index = rng.random_range(0..installation.worker_proxies.len());
-    match rng.random_range(0..12) {
-        0 => {
-            let mut killed = entry.lock().expect("the lock is not poisoned");
-            killed.kill();
-            drop(killed);
-            task::spawn(async move {
-                task::sleep(duration / 2).await;
-                restart(&entry);
-            });
-            format!("kill e{entry_index}, restart after {:?}", duration / 2)
-        }
-        1 => {
-            entry.lock().expect("the lock is not poisoned").signal("STOP");
-            task::spawn(async move {
-                task::sleep(duration).await;
-                entry.lock().expect("the lock is not poisoned").signal("CONT");
-            });
-            format!("suspend e{entry_index} for {duration:?}")
-        }
-        2 => {
-            entry.lock().expect("the lock is not poisoned").signal("TERM");
-            task::spawn(async move {
-                // Time for a graceful stop, after which the process is killed.
-                task::sleep(Duration::from_secs(4)).await;
-                entry.lock().expect("the lock is not poisoned").kill();
-                restart(&entry);
-            });
-            format!("stop e{entry_index}")
-        }
-        3..=5 => {
-            let store_proxy = entry.lock().expect("the lock is not poisoned").store_proxy.clone();
-            let state = [PathState::Silent, PathState::NoAnswers, PathState::Delayed(Duration::from_millis(120))];
-            inject_path_fault(
-                &store_proxy,
-                *state.choose(rng).expect("the list is not empty"),
-                duration,
-                &format!("connection of e{entry_index} to the store"),
-            )
-        }
-        6 | 7 => {
-            let state = [PathState::Silent, PathState::NoAnswers, PathState::Delayed(Duration::from_millis(80))];
-            inject_path_fault(
-                &installation.worker_proxies[worker_index],
-                *state.choose(rng).expect("the list is not empty"),
-                duration,
-                &format!("connection to w{worker_index}"),
-            )
-        }
-        8 => {
-            installation.worker_proxies.iter().for_each(Proxy::reset);
-            installation.entries.iter().for_each(|e| e.lock().expect("the lock is not poisoned").store_proxy.reset());
-            "reset all connections".to_owned()
-        }
-        9 => {
-            let faults = [
-                store::Fault::Busy,
-                store::Fault::Silent,
-                store::Fault::Slow(Duration::from_millis(200)),
-                store::Fault::Lost,
-                store::Fault::Late(Duration::from_millis(1_500)),
-            ];
-            let fault = *faults.choose(rng).expect("the list is not empty");
-            installation.inject_store_fault(fault, duration)
-        }
-        10 => {
-            installation.fleet.crash(worker_index, duration);
-            format!("crash w{worker_index} for {duration:?}")
-        }
-        _ => {
-            installation.store.compact_history();
-            let late = workers::Fault::Late(Duration::from_millis(700));
-            let fault = *[workers::Fault::Silent, late].choose(rng).expect("the list is not empty");
-            let description = installation.inject_worker_fault(worker_index, fault, duration);
-            format!("store history compacted, {description}")
-        }
-    }
-}
-
-/// Sets the state of a proxy's path and opens the path again after `duration`. Returns a description of the fault.
-fn inject_path_fault(proxy: &Proxy, state: PathState, duration: Duration, name: &str) -> String {
-    proxy.set_path_state(state);
-    let proxy_to_open = proxy.clone();
-    task::spawn(async move {
-        task::sleep(duration).await;
-        proxy_to_open.set_path_state(PathState::Open);
-    });
-    format!("{name}: {state:?} for {duration:?}")
-}
-
-/// Which faults are injected, and into what.
-#[derive(Clone, Copy, Debug)]
-enum Scenario {
-    /// Short faults of all kinds in a small installation.
-    Mixed,
-    /// Long outages of the store, while schedulers are lost one after another, in an installation of the size that users
-    /// run.
-    Outages,
-}
-
-impl Scenario {
-    fn size(self, rng: &mut StdRng) -> Size {
-        match self {
-            Self::Mixed => Size::SMALL,
-            Self::Outages => Size {
-                entries: rng.random_range(7..10),
-                workers: rng.random_range(24..37),
-                vm_api_delay: Some(Duration::from_millis(*[4, 500].choose(rng).expect("the list is not empty"))),
-            },
-        }
-    }
-
-    const fn fault_duration(self) -> Duration {
-        match self {
-            Self::Mixed => FAULT_DURATION,
-            Self::Outages => OUTAGES_DURATION,
-        }
-    }
-
-    /// Time between faults in ms.
-    const fn pause_ms(self) -> Range<u64> {
-        match self {
-            Self::Mixed => 150..1_000,
-            Self::Outages => 400..2_500,
-        }
-    }
-
-    /// Run time of tasks in ms.
-    const fn run_time_ms(self) -> Range<u64> {
-        match self {
-            Self::Mixed => SHORT_RUN_TIME_MS,
-            Self::Outages => 50..4_000,
-        }
-    }
-
-    fn inject_fault(self, installation: &Installation, rng: &mut StdRng) -> String {
-        match self {
-            Self::Mixed => inject_fault(installation, rng),
-            Self::Outages => inject_outage(installation, rng),
-        }
-    }
-}
-
-/// Injects an outage or the loss of a scheduler, which ends by itself, and returns its description.
-fn inject_outage(installation: &Installation, rng: &mut StdRng) -> String {
-    let duration = Duration::from_millis(rng.random_range(1_000..6_000));
-    let worker_index = rng.random_range(0..installation.worker_proxies.len());
-    match rng.random_range(0..13) {
-        0..=3 => match installation.scheduler() {
-            Some(scheduler) => lose_entry(installation, scheduler, rng),
-            None => "no scheduler to lose".to_owned(),
-        },
-        12 => match installation.scheduler() {
-            Some(scheduler) => isolate_scheduler(installation, scheduler, duration * 3),
-            None => "no scheduler to isolate".to_owned(),
-        },
-        4 => {
-            let fault = *[store::Fault::Silent, store::Fault::Busy].choose(rng).expect("the list is not empty");
-            let outage = Duration::from_millis(rng.random_range(5_000..30_000));
-            installation.inject_store_fault(fault, outage)
-        }
-        5 => {
-            let count = rng.random_range(1..installation.entries.len());
-            let scheduler = installation.scheduler().unwrap_or(0);
-            let cut = (0..count).map(|n| (scheduler + n) % installation.entries.len());
-            let describe = |index: usize| {
-                let proxy = installation.entries[index].lock().expect("the lock is not poisoned").store_proxy.clone();
-                inject_path_fault(
-                    &proxy,
-                    PathState::Silent,
-                    duration * 3,
-                    &format!("connection of e{index} to the store"),
-                )
-            };
-            cut.map(describe).collect::<Vec<_>>().join(", ")
-        }
-        6..=8 => {
-            installation.worker_proxies[worker_index].reset();
-            installation.fleet.crash(worker_index, duration / 3);
-            format!("crash w{worker_index} for {:?}", duration / 3)
-        }
-        9 => inject_path_fault(
-            &installation.worker_proxies[worker_index],
-            PathState::Silent,
-            duration * 2,
-            &format!("connection to w{worker_index}"),
-        ),
-        10 => installation.inject_worker_fault(worker_index, workers::Fault::Late(duration / 4), duration),
-        _ => {
-            installation.worker_proxies.iter().for_each(Proxy::reset);
-            "reset all connections to workers".to_owned()
-        }
-    }
-}
-
-/// Kills, stops or suspends the process of an entry for a while, and returns a description.
-fn lose_entry(installation: &Installation, index: usize, rng: &mut StdRng) -> String {
-    let entry = Arc::clone(&installation.entries[index]);
-    let duration = Duration::from_millis(rng.random_range(500..10_000));
-    let signal = *["KILL", "TERM", "STOP"].choose(rng).expect("the list is not empty");
-    entry.lock().expect("the lock is not poisoned").signal(signal);
-    task::spawn(async move {
-        task::sleep(duration).await;
-        if signal == "STOP" {
-            return entry.lock().expect("the lock is not poisoned").signal("CONT");
-        }
-        entry.lock().expect("the lock is not poisoned").kill();
-        restart(&entry);
-    });
-    format!("{signal} the scheduler e{index} for {duration:?}")
-}
-
-/// Divides the installation for a while: an entry is alone with a third of the workers, and the others have the store.
-/// Only the entries still reach one another. Returns a description.
-fn isolate_scheduler(installation: &Installation, index: usize, duration: Duration) -> String {
-    let name = format!("e{index}");
-    let workers = installation.worker_proxies.len();
-    for worker in 0..workers {
-        let reach = if worker % 3 == 0 { Reach::Only(name.clone()) } else { Reach::AllBut(name.clone()) };
-        installation.fleet.set_reach(worker, reach);
-    }
-    let fleet = installation.fleet.clone();
-    task::spawn(async move {
-        task::sleep(duration).await;
-        (0..workers).for_each(|worker| fleet.set_reach(worker, Reach::All));
-    });
-    let proxy = installation.entries[index].lock().expect("the lock is not poisoned").store_proxy.clone();
-    inject_path_fault(&proxy, PathState::Silent, duration, &format!("{name} is alone with a third of the workers"))
-}
-
 /// Runs one seed. Returns a message for each violation of a guarantee.
 async fn run_seed(scenario: Scenario, seed: u64) -> Vec<String> {
     let mut rng = StdRng::seed_from_u64(seed);
@@ -406,6 +172,14 @@
     run_seeds(Scenario::Outages, &seeds, OUTAGE_SEEDS_AT_ONCE);
 }
 
+/// Guards against lost jobs and tasks that run twice while entries are cut off from each other, from the store or from
+/// workers, in ways that overlap.
+#[test]
+fn guarantees_hold_for_processes_in_divisions() {
+    let seeds = seeds_of("SOAK_DIVISION_SEEDS").unwrap_or_else(|| DIVISION_SEEDS.to_vec());
+    run_seeds(Scenario::Divisions, &seeds, DIVISION_SEEDS_AT_ONCE);
+}
+
 /// Guards against an installation without a scheduler after its stronger entries were lost, because the weak one keeps
 /// yielding, and against a weak scheduler that stays although a stronger entry has returned.
 #[test]
@@ -465,20 +239,19 @@
     });
 }
 
-/// Guards against tasks that run twice because a scheduler that has lost the store extends the leases of workers that
-/// only it can reach, while its successor waits no longer than the last lease that it expects.
-#[test]
-fn isolated_scheduler_doubles_nothing() {
+/// Checks that no task of a lasting job runs twice, and that all run in the end, while `divide` cuts off the scheduler for
+/// [`ISOLATION_DURATION`]. `divide` gets the index of the scheduler.
+fn check_lasting_job(seed: u64, size: Size, divide: fn(&Installation, usize) -> String) {
     task::block_on(async {
-        let installation = Installation::start(ISOLATION_SEED, Size::SMALL).await;
+        let installation = Installation::start(seed, size).await;
         let (caller, entries) = (Caller::new(KEY), installation.addresses());
         installation::await_start(&installation, &caller).await;
-        let lasting_job = Job { id: format!("{ISOLATION_SEED:016x}"), steps: vec![20], run_time_ms: None };
+        let lasting_job = Job { id: format!("{seed:016x}"), steps: vec![20], run_time_ms: None };
         let lasting = installation::submit(&caller, &entries, lasting_job, 0).await;
         assert!(lasting.is_accepted);
         task::sleep(Duration::from_secs(2)).await;
         let scheduler = installation.scheduler().expect("an entry schedules");
-        println!("{}", isolate_scheduler(&installation, scheduler, ISOLATION_DURATION));
+        println!("{}", divide(&installation, scheduler));
         task::sleep(ISOLATION_DURATION + Duration::from_secs(4)).await;
         let runs = installation.fleet.runs();
         let jobs = [lasting];
@@ -493,3 +266,32 @@
         let _ = fs::remove_dir_all(&installation.folder);
     });
 }
+
+/// Guards against tasks that run twice because a scheduler that has lost the store extends the leases of workers that
+/// only it can reach, while its successor waits no longer than the last lease that it expects.
+#[test]
+fn isolated_scheduler_doubles_nothing() {
+    check_lasting_job(ISOLATION_SEED, Size::SMALL, |installation, scheduler| {
+        isolate_scheduler(installation, scheduler, ISOLATION_DURATION)
+    });
+}
+
+/// Guards against tasks that run twice because the only entry that a scheduler without the store still reaches has lost
+/// the store too, which does not show that the store is lost for all.
+#[test]
+fn scheduler_beside_one_more_entry_doubles_nothing() {
+    let size = Size { entries: 5, workers: 9, data_centres: 3, vm_api_delay: None };
+    check_lasting_job(COMPANION_SEED, size, |installation, scheduler| {
+        // The first entry is weak and is not asked for relief.
+        let companion =
+            (1..installation.entries.len()).find(|index| *index != scheduler).expect("there are five entries");
+        installation.divide(&Division {
+            side: BTreeSet::from([scheduler, companion]),
+            direction: Direction::Both,
+            state: PathState::Silent,
+            loses_store: true,
+            workers: Some((0..installation.worker_proxies.len()).filter(|worker| worker % 3 == 0).collect()),
+            duration: ISOLATION_DURATION,
+        })
+    });
+}
