--- a/crates/carawaybarrow/tests/soak.rs
+++ b/crates/carawaybarrow/tests/soak.rs
@@ -78,7 +78,7 @@
     let size = scenario.size(&mut rng);
     let installation = Installation::start(seed, size).await;
     let entries = installation.addresses();
-    let lasting_job = Job { id: format!("{seed:016x}"), steps: vec![3], run_time_ms: None };
+    let lasting_job = Job { id: format!("{seed:016x}"), steps: vec![scenario.lasting_tasks()], run_time_ms: None };
     let caller = Caller::new(KEY);
     let started = Instant::now();
     let mut first = installation::submit(&caller, &entries, lasting_job.clone(), 0).await;
@@ -103,8 +103,9 @@
     let runs = installation.fleet.runs();
     violations.extend(find_violations(&jobs, &runs, false));
     let running = runs.iter().filter(|r| r.task.starts_with(&lasting_job.id) && r.ended.is_none()).count();
-    if running != 3 {
-        violations.push(format!("{running} of the 3 tasks without an end are running"));
+    let lasting = scenario.lasting_tasks();
+    if running != lasting as usize {
+        violations.push(format!("{running} of the {lasting} tasks without an end are running"));
     }
     let done = runs.iter().filter(|r| matches!(r.ended, Some((_, EndReason::Done)))).count();
     println!(
--- a/crates/carawaybarrow/tests/soak_faults/divisions.rs
+++ b/crates/carawaybarrow/tests/soak_faults/divisions.rs
@@ -81,13 +81,20 @@
         _ => BTreeSet::from([scheduler, rng.random_range(0..entries), rng.random_range(0..entries)]),
     };
     let workers = (0..installation.worker_proxies.len()).filter(|worker| worker % data_centres == data_centre);
+    let workers: BTreeSet<usize> = workers.collect();
+    let duration = Duration::from_millis(rng.random_range(DIVISION_MS));
+    if rng.random() {
+        // Nothing passes between the two sides, and only one has the store.
+        let (direction, state) = (Direction::Both, PathState::Silent);
+        return Division { side, direction, state, loses_store: true, workers: Some(workers), duration };
+    }
     let directions = [Direction::Both, Direction::Both, Direction::Both, Direction::Out, Direction::In];
     Division {
         direction: *directions.choose(rng).expect("the list is not empty"),
         state: draw_state(rng),
         loses_store: rng.random_ratio(2, 3),
-        workers: rng.random_ratio(3, 4).then(|| workers.collect()),
-        duration: Duration::from_millis(rng.random_range(DIVISION_MS)),
+        workers: rng.random_ratio(3, 4).then_some(workers),
+        duration,
         side,
     }
 }
--- a/crates/carawaybarrow/tests/soak_faults/mod.rs
+++ b/crates/carawaybarrow/tests/soak_faults/mod.rs
@@ -167,6 +167,15 @@
         }
     }
 
+    /// Number of tasks without an end.
+    pub const fn lasting_tasks(self) -> u32 {
+        match self {
+            Self::Mixed | Self::Outages => 3,
+            // On the workers of each side, so that a scheduler beside another one doubles some of them.
+            Self::Divisions => 20,
+        }
+    }
+
     /// Run time of tasks in ms.
     pub const fn run_time_ms(self) -> Range<u64> {
         match self {
