Let divisions of the soak test last undisturbed and cover half of the entries

Short jobs and fewer faults let the jobs end in time after the faults, and sides of two data centres or of all entries but one keep finding entries without the store.

--- a/crates/carawaybarrow/tests/installation/divisions.rs
+++ b/crates/carawaybarrow/tests/installation/divisions.rs
@@ -88,18 +88,20 @@
     }
 
     /// Lets only the entries of `side` reach the workers in `workers`, and only the other entries the rest, for a while.
+    /// Workers that an earlier division still limits stay as they are, as each division would otherwise cut the one before
+    /// short.
     pub fn divide_workers(&self, side: &BTreeSet<usize>, workers: &BTreeSet<usize>, duration: Duration) {
         let names: BTreeSet<String> = side.iter().map(|index| format!("e{index}")).collect();
         for worker in 0..self.worker_proxies.len() {
             let names = names.clone();
             let reach = if workers.contains(&worker) { Reach::Only(names) } else { Reach::AllBut(names) };
-            self.fleet.set_reach(worker, reach.clone());
-            let fleet = self.fleet.clone();
-            task::spawn(async move {
-                task::sleep(duration).await;
-                // A later division of the workers lasts on.
-                fleet.end_reach(worker, &reach);
-            });
+            if self.fleet.limit_reach(worker, reach) {
+                let fleet = self.fleet.clone();
+                task::spawn(async move {
+                    task::sleep(duration).await;
+                    fleet.set_reach(worker, Reach::All);
+                });
+            }
         }
     }
 }
--- a/crates/carawaybarrow/tests/soak_faults/divisions.rs
+++ b/crates/carawaybarrow/tests/soak_faults/divisions.rs
@@ -69,19 +69,30 @@
     *states.choose(rng).expect("the list is not empty")
 }
 
-/// Draws a division by data centre, or of the scheduler with up to two more entries.
+/// Draws a division by data centre, of the scheduler with up to two more entries, or of all entries but one.
 fn draw_division(installation: &Installation, scheduler: usize, rng: &mut StdRng) -> Division {
     let entries = installation.entries.len();
     let data_centres = usize::from(installation.data_centres);
-    let data_centre = rng.random_range(0..data_centres);
-    let side: BTreeSet<usize> = match rng.random_range(0..4) {
-        0 => installation.entries_of(data_centre),
-        1 => installation.entries_of(scheduler % data_centres),
-        2 => BTreeSet::from([scheduler, rng.random_range(0..entries)]),
-        _ => BTreeSet::from([scheduler, rng.random_range(0..entries), rng.random_range(0..entries)]),
+    let home = scheduler % data_centres;
+    let other = rng.random_range(0..entries);
+    let (side, worker_data_centres): (BTreeSet<usize>, Vec<usize>) = match rng.random_range(0..6) {
+        0 => (installation.entries_of(other % data_centres), vec![other % data_centres]),
+        1 => (installation.entries_of(home), vec![home]),
+        // A side of this size goes on finding entries without the store that it has not asked lately.
+        2 | 3 => {
+            let second = (home + 1) % data_centres;
+            (&installation.entries_of(home) | &installation.entries_of(second), vec![home, second])
+        }
+        4 => (BTreeSet::from([scheduler, other, rng.random_range(0..entries)]), vec![home]),
+        _ => {
+            let alone = (scheduler + rng.random_range(1..entries)) % entries;
+            let side = (0..entries).filter(|index| *index != alone).collect();
+            (side, (0..data_centres).filter(|data_centre| *data_centre != alone % data_centres).collect())
+        }
     };
-    let workers = (0..installation.worker_proxies.len()).filter(|worker| worker % data_centres == data_centre);
-    let workers: BTreeSet<usize> = workers.collect();
+    let workers = 0..installation.worker_proxies.len();
+    let workers: BTreeSet<usize> =
+        workers.filter(|worker| worker_data_centres.contains(&(worker % data_centres))).collect();
     let duration = Duration::from_millis(rng.random_range(DIVISION_MS));
     if rng.random() {
         // Nothing passes between the two sides, and only one has the store.
--- a/crates/carawaybarrow/tests/soak_faults/mod.rs
+++ b/crates/carawaybarrow/tests/soak_faults/mod.rs
@@ -163,7 +163,9 @@
     pub const fn pause_ms(self) -> Range<u64> {
         match self {
             Self::Mixed => 150..1_000,
-            Self::Outages | Self::Divisions => 400..2_500,
+            Self::Outages => 400..2_500,
+            // Most divisions last undisturbed for longer than a successor waits for silent workers.
+            Self::Divisions => 1_000..5_000,
         }
     }
 
@@ -180,7 +182,9 @@
     pub const fn run_time_ms(self) -> Range<u64> {
         match self {
             Self::Mixed => SHORT_RUN_TIME_MS,
-            Self::Outages | Self::Divisions => 50..4_000,
+            Self::Outages => 50..4_000,
+            // All jobs together take less than the time after the last fault, as few end in between.
+            Self::Divisions => 50..1_500,
         }
     }
 
