Log how lately a term was confirmed where it starts tasks and gives workers up

The logs of the incident don't tell apart a scheduler that is told that its term is over, one that nobody tells, and one that acts within the bounds of time that its successor assumes. Each start, each silent worker that is given up and each round of requests for relief now carries the age of the last confirmation of the term, and a round the answers and what they were judged to mean.

--- a/crates/carawaybarrow/src/node/peers.rs
+++ b/crates/carawaybarrow/src/node/peers.rs
@@ -152,7 +152,12 @@
             answer
         };
         let answers = futures::future::join_all(peers.iter().map(ask)).await;
-        ReliefOutcome::judge(&answers, term.age())
+        let outcome = ReliefOutcome::judge(&answers, term.age());
+        log::info!(
+            term = term.owner.term, answers:? = answers, outcome:? = outcome, confirmed_ms_ago = term.confirmation_age().0;
+            "answers to the requests for relief"
+        );
+        outcome
     }
 
     /// Tells the scheduler of an earlier term that a later one has begun, until it answers. It may have lost the store,
--- a/crates/carawaybarrow/src/node/term.rs
+++ b/crates/carawaybarrow/src/node/term.rs
@@ -183,6 +183,12 @@
         self.confirmed_at.fetch_max(asked.0, Ordering::SeqCst);
     }
 
+    /// Time since the term was last confirmed.
+    #[must_use]
+    pub fn confirmation_age(&self) -> Millis {
+        view::now().mono.since(MonoTime(self.confirmed_at.load(Ordering::SeqCst)))
+    }
+
     /// Records that a renewal of the lease failed.
     pub fn record_failed_renewal(&self) {
         self.renewed_at.store(0, Ordering::SeqCst);
@@ -197,8 +203,7 @@
     /// Whether the term goes on and was confirmed so lately that no later scheduler gives orders about VMs yet.
     #[must_use]
     pub fn may_order_vms(&self) -> bool {
-        let confirmed_at = MonoTime(self.confirmed_at.load(Ordering::SeqCst));
-        !self.is_ended() && view::now().mono.since(confirmed_at) <= VM_ORDER_LIMIT
+        !self.is_ended() && self.confirmation_age() <= VM_ORDER_LIMIT
     }
 
     /// Whether the term has ended, so that this entry no longer schedules.
@@ -286,7 +291,7 @@
                 Event::EvacuationEnded { .. } => self.view.metrics.count_evacuation("ended"),
                 _ => {}
             }
-            log_event(&event);
+            log_event(&event, self);
         }
         let planned = view::now().mono;
         for order in orders {
@@ -326,7 +331,7 @@
                 let (answer, error) = self.workers.start(address, &start, token, ORDER_TIMEOUT).await;
                 self.view.metrics.record_order("start", answer.label(), began.elapsed());
                 let error = error.map(|e| e.to_string()).unwrap_or_default();
-                log::info!(task:% = start.task, run = start.run, worker:% = start.worker, lease_until = start.lease_until, answer:? = answer, error:% = error; "start");
+                log::info!(task:% = start.task, run = start.run, worker:% = start.worker, lease_until = start.lease_until, confirmed_ms_ago = self.confirmation_age().0, answer:? = answer, error:% = error; "start");
                 let is_fenced = self
                     .with(|s| s.apply_start_answer(view::now().mono, &start.worker, &start.task, start.run, answer));
                 if is_fenced {
@@ -424,7 +429,7 @@
     }
 }
 
-fn log_event(event: &Event) {
+fn log_event(event: &Event, term: &Term) {
     match event {
         Event::RunEnded { task, run, worker, kind } => {
             log::info!(task:% = task, run = run, worker:% = worker, how:? = kind; "run ended");
@@ -439,7 +444,10 @@
         }
         Event::WorkerRestarted { worker } => log::warn!(worker:% = worker; "worker restarted or gone; runs are lost"),
         Event::WorkerLapsed { worker, runs } => {
-            log::warn!(worker:% = worker, runs = runs; "leases of a silent worker have ended")
+            log::warn!(
+                worker:% = worker, runs = runs, term = term.owner.term, confirmed_ms_ago = term.confirmation_age().0;
+                "leases of a silent worker have ended"
+            );
         }
         Event::WorkerQuarantined { worker, failures } => {
             log::warn!(worker:% = worker, failures = failures; "worker fails its tasks and gets no more for a while");
