--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -2,6 +2,7 @@
 
 mod capacity;
 mod directory;
+mod division;
 mod evacuation;
 mod hopeless;
 mod lifecycle;
--- a/crates/core/tests/sched/model.rs
+++ b/crates/core/tests/sched/model.rs
@@ -131,6 +131,7 @@
                 ends: Vec::new(),
                 last_end: 0,
                 is_partitioned: false,
+                loses_answers: false,
                 incarnation: 1,
                 fails_tasks: false,
                 stop_ms: 0,
@@ -257,6 +258,7 @@
             return;
         }
         match worker.poll(self.now, poll.lease_until, poll.durable_end, token) {
+            _ if worker.loses_answers => self.scheduler.record_lost_poll(key, false),
             Some(lists) => self.scheduler.apply_lists(now, key, MonoTime(self.now), lists),
             None => self.is_fenced = true,
         }
--- a/crates/core/tests/sched/model_worker.rs
+++ b/crates/core/tests/sched/model_worker.rs
@@ -28,6 +28,8 @@
     pub ends: Vec<EndRow>,
     pub last_end: u64,
     pub is_partitioned: bool,
+    /// Whether it receives polls whose answers are lost.
+    pub loses_answers: bool,
     pub incarnation: u64,
     pub fails_tasks: bool,
     /// Time that a run takes to stop.
