Let a scheduler act only while its term is confirmed

Cause: a scheduler without the store went on until it was told that its term was over, by a worker, its successor or an entry with the store, and it took one entry that had lost the store too as its word that no later term had begun. Its successor assumed that it stops within 2 s. In a division nobody tells it, and an entry that knew of the later term forgot it when it lost the store.

A term is confirmed as of the time at which the store was asked to renew it, or all other entries were asked and each answered that it has lost the store and knows no later term, or one proved by what it has just heard from the store that the term goes on. Starts and extended leases need a confirmation of the last 1.9 s; a successor waits 2 s. An entry remembers the latest term that it has heard of, and a new scheduler tells all entries of its term, not only its predecessor.

--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -3,14 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_std::task;
+use async_std::{future, task};
 use carawaybarrow_core::Map;
-use carawaybarrow_core::sched::candidacy::{HANDOVER_AGE, ReliefOutcome};
+use carawaybarrow_core::sched::candidacy::{HANDOVER_AGE, ReliefOutcome, TermState};
 use carawaybarrow_core::sched::graph::JobKey;
 use carawaybarrow_core::sched::order::FencingToken;
 use carawaybarrow_core::sched::progress::{JobRecord, Progress};
+use carawaybarrow_core::sched::recovery::PREVIOUS_TERM_OVERRUN;
 use carawaybarrow_core::sched::scheduler::Scheduler;
-use carawaybarrow_core::units::MonoTime;
+use carawaybarrow_core::units::{Millis, MonoTime};
 use carawaybarrow_platform::configuration::{EVACUATION_PREFIX, evacuated_data_centre};
 use carawaybarrow_platform::store::{Change, ChangeOutcome, Item, LeaseId, StoreError, StoreRevision};
 use snafu::Snafu;
@@ -37,6 +38,13 @@
 /// Failed renewals in a row after which the scheduler asks another entry to take over.
 const FAILURES_BEFORE_RELIEF: usize = 2;
 
+/// Time since the last confirmation of a term after which its scheduler asks the other entries. Renewals that are
+/// answered at once confirm it more often.
+const CONFIRMATION_AGE: Millis = Millis(800);
+
+/// Pause between checks whether the other entries must be asked.
+const CONFIRMATION_PAUSE: Duration = Duration::from_millis(250);
+
 /// Time for an answer of the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -78,7 +86,10 @@
         if has_answer && is_vacant && view.configuration().is_some() && view.term().is_none() {
             let since = *vacant_since.get_or_insert(now);
             if view.takeover_delay().is_some_and(|delay| now.since(since) >= delay) {
-                match try_begin_term(&view, incarnation).await {
+                view.set_beginning_term(true);
+                let begun = try_begin_term(&view, incarnation).await;
+                view.set_beginning_term(false);
+                match begun {
                     Ok(Some((term, earlier))) => run_term(term, Arc::clone(&scheduler), earlier),
                     Ok(None) => {}
                     Err(e) => log::warn!(error:% = e; "can't begin a term"),
@@ -120,10 +131,9 @@
 fn run_term(term: Arc<Term>, scheduler: Arc<SchedulerClient>, earlier: Option<Owner>) {
     log::info!(term = term.owner.term, token = term.revision.0; "term begun");
     term.view.set_term(Some(Arc::clone(&term)));
-    if let Some(earlier) = earlier.filter(|o| o.entry != term.owner.entry) {
-        let (scheduler, term) = (Arc::clone(&scheduler), Arc::clone(&term));
-        task::spawn(async move { scheduler.depose(&earlier, &term).await });
-    }
+    let announcement = (Arc::clone(&scheduler), Arc::clone(&term));
+    task::spawn(async move { announcement.0.announce_term(&announcement.1, earlier).await });
+    task::spawn(confirm_by_others(Arc::clone(&term), Arc::clone(&scheduler)));
     task::spawn(renew(Arc::clone(&term), scheduler));
     task::spawn(async move {
         if let Err(e) = load_jobs(&term).await {
@@ -133,6 +143,7 @@
             return;
         }
         task::spawn(Arc::clone(&term).run_planner());
+        task::spawn(await_previous_stopped(Arc::clone(&term)));
         for _ in 0..job_writer::WRITERS {
             task::spawn(job_writer::run(Arc::clone(&term)));
         }
@@ -215,6 +226,7 @@
         ],
         deletes: Vec::new(),
     };
+    let asked = view::now().mono;
     let revision = match store.change(&change, STORE_TIMEOUT).await {
         Ok(ChangeOutcome::Done(revision)) => revision,
         Ok(ChangeOutcome::Conflict(_)) => {
@@ -243,6 +255,7 @@
     let policy = view.configuration().map(|c| Arc::clone(&c.policy)).unwrap_or_default();
     let scheduler = Scheduler::new(FencingToken(revision.0), count, view.settings.bounds, policy);
     let term = Term::new(owner, revision, lease, Arc::clone(view), scheduler, may_order_vms_at_once);
+    term.record_confirmation(asked);
     Ok(Some((Arc::new(term), earlier)))
 }
 
@@ -270,12 +283,10 @@
                 failures += 1;
                 // Another entry that reaches the store can take over before the lease lapses.
                 if let Some(round) = failures.checked_sub(FAILURES_BEFORE_RELIEF) {
-                    let asked = view::now().mono;
                     match scheduler.request_relief(&term, round).await {
                         ReliefOutcome::Granted => return term.end("the store is lost and another entry takes over"),
                         ReliefOutcome::Deposed => return term.end("another entry knows that the term is over"),
                         ReliefOutcome::CutOff => return term.end("the store and the other entries are lost"),
-                        ReliefOutcome::StoreLost => term.record_confirmation(asked),
                         ReliefOutcome::Unknown => {}
                     }
                 }
@@ -287,6 +298,40 @@
     }
 }
 
+/// Asks the other entries whether the term goes on while the store does not confirm it, until the term ends.
+async fn confirm_by_others(term: Arc<Term>, scheduler: Arc<SchedulerClient>) {
+    while !term.is_ended() {
+        if term.confirmation_age() >= CONFIRMATION_AGE {
+            let asked = view::now().mono;
+            match scheduler.ask_about_term(&term).await {
+                TermState::Over => return term.end("another entry knows that the term is over"),
+                TermState::Confirmed(age) => term.record_confirmation(MonoTime(asked.0.saturating_sub(age.0))),
+                TermState::Unconfirmed => {}
+            }
+            term.log_confirmation();
+        }
+        task::sleep(CONFIRMATION_PAUSE).await;
+    }
+}
+
+/// Waits until earlier schedulers have stopped, and reads the revision of the store after that.
+async fn await_previous_stopped(term: Arc<Term>) {
+    // A timeout means that earlier schedulers have stopped by themselves.
+    let _ = future::timeout(PREVIOUS_TERM_OVERRUN.to_duration(), term.wait_for_previous_stopped()).await;
+    while !term.is_ended() {
+        let stopped = view::now().mono;
+        match term.view.store.list(RELEASED_TERM_KEY, STORE_TIMEOUT).await {
+            Ok((_, as_of)) => {
+                log::info!(term = term.owner.term, revision = as_of.0; "earlier schedulers have stopped");
+                term.with(|s| s.record_previous_stopped(stopped, as_of.0));
+                return term.request_plan();
+            }
+            Err(e) => log::info!(error:% = e; "the revision at which earlier schedulers have stopped is not known yet"),
+        }
+        task::sleep(RETRY_PAUSE).await;
+    }
+}
+
 async fn load_jobs(term: &Arc<Term>) -> Result<(), ElectionError> {
     for _ in 0..LOAD_ATTEMPTS {
         match load_jobs_once(term).await {
@@ -332,7 +377,7 @@
             Some(JobItem::Cancel(job)) => cancelled.push(job),
             Some(JobItem::Record(job)) => match records::decode::<JobRecord>(value) {
                 Ok(JobRecord::Accepted(spec)) => {
-                    accepted.push((spec.accepted, job, spec, item.created < term.revision));
+                    accepted.push((spec.accepted, job, spec, item.created.0));
                 }
                 Ok(JobRecord::Ended { state, at, .. }) => term.with(|s| s.add_ended(job, state, at)),
                 Err(e) => {
@@ -346,9 +391,9 @@
     term.with(|s| {
         // Nothing starts before the evacuations are known.
         s.set_evacuated(evacuations.iter().filter_map(evacuated_data_centre).collect());
-        for (_, job, spec, is_inherited) in accepted {
+        for (_, job, spec, created) in accepted {
             let job_progress = progress.remove(&job).unwrap_or_default();
-            s.add_job(now, job, spec, job_progress, is_inherited);
+            s.add_job(now, job, spec, job_progress, created);
         }
         for job in &cancelled {
             s.cancel_job(job);
--- a/crates/carawaybarrow/src/node/peers.rs
+++ b/crates/carawaybarrow/src/node/peers.rs
@@ -5,8 +5,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use async_std::task;
-use carawaybarrow_core::sched::candidacy::{ReliefAnswer, ReliefOutcome};
+use async_std::{future, task};
+use carawaybarrow_core::sched::candidacy::{ReliefAnswer, ReliefOutcome, TermAnswer, TermState};
 use carawaybarrow_core::sched::graph::{JobKey, QueueName};
 use carawaybarrow_core::sched::progress::{JobRecord, JobState};
 use carawaybarrow_platform::store::LeaseId;
@@ -33,12 +33,15 @@
 /// Number of entries that a scheduler asks for relief at the same time.
 const RELIEF_ATTEMPTS: usize = 3;
 
-/// Time for which a new scheduler tells its predecessor that the earlier term is over. It covers the time in which the
-/// successor waits for workers that have not answered.
-const DEPOSE_LIMIT: Duration = Duration::from_secs(10);
+/// Time for which a new scheduler tells the other entries of its term. It covers the time in which it waits for workers
+/// that have not answered.
+const ANNOUNCE_LIMIT: Duration = Duration::from_secs(10);
 
-/// Pause before a call to a predecessor is repeated.
-const DEPOSE_PAUSE: Duration = Duration::from_millis(200);
+/// Status of an entry that is told of a later term: its own term has ended, and all schedulers before it had stopped.
+const ALL_STOPPED: u16 = 200;
+
+/// Pause before an entry that did not answer is told again.
+const ANNOUNCE_PAUSE: Duration = Duration::from_millis(200);
 
 /// Request of a scheduler that has lost the store.
 #[derive(Debug, Serialize, Deserialize)]
@@ -160,23 +163,62 @@
         outcome
     }
 
-    /// Tells the scheduler of an earlier term that a later one has begun, until it answers. It may have lost the store,
-    /// and would extend leases of workers that this entry can't reach.
-    pub async fn depose(&self, earlier: &Owner, term: &Term) {
-        let call = Call::new(Method::Post, format!("/terms/{}/over", earlier.term));
+    /// Asks all other entries whether a term goes on.
+    pub async fn ask_about_term(&self, term: &Term) -> TermState {
+        // An entry that is not known may have begun a later term.
+        let Some(peers) = self.view.known_entries() else { return TermState::Unconfirmed };
+        let call = Call::new(Method::Get, format!("/terms/{}", term.owner.term));
+        let ask = async |peer: &SocketAddr| {
+            // The time limit of the call does not cover its connection.
+            let call = future::timeout(ANSWER_TIMEOUT, self.client.call(*peer, &call, ANSWER_TIMEOUT));
+            match call.await {
+                Ok(Ok(reply)) if reply.status == 200 => reply.json().unwrap_or(TermAnswer::Unknown),
+                Ok(Ok(_)) => TermAnswer::Unknown,
+                Ok(Err(_)) | Err(_) => TermAnswer::Silent,
+            }
+        };
+        let asked = Instant::now();
+        let answers = futures::future::join_all(peers.iter().map(ask)).await;
+        let state = TermState::judge(&answers, term.age());
+        let count = |answer| answers.iter().filter(|a| **a == answer).count();
+        log::info!(
+            term = term.owner.term, entries = answers.len(), state:? = state, store_lost = count(TermAnswer::StoreLost),
+            silent = count(TermAnswer::Silent), unknown = count(TermAnswer::Unknown), took:? = asked.elapsed();
+            "other entries asked about the term"
+        );
+        state
+    }
+
+    /// Tells the other entries, and the scheduler of the earlier term, that a later term has begun, until each answers. The
+    /// earlier scheduler may have lost the store and not know of the end of its term; it asks entries that may have lost
+    /// the store too.
+    pub async fn announce_term(&self, term: &Term, earlier: Option<Owner>) {
+        let earlier = earlier.filter(|o| o.entry != term.owner.entry).map(|o| o.peers);
+        let mut peers = self.view.known_entries().unwrap_or_default();
+        peers.extend(earlier.filter(|e| !peers.contains(e)));
+        let tell = async |peer: &SocketAddr| {
+            let status = self.announce_term_to(*peer, term).await;
+            if earlier == Some(*peer) && status == Some(ALL_STOPPED) {
+                term.record_previous_stopped();
+            }
+            status
+        };
+        let answers = futures::future::join_all(peers.iter().map(tell)).await;
+        let silent = answers.iter().filter(|status| status.is_none()).count();
+        log::info!(term = term.owner.term, entries = peers.len(), silent = silent; "term announced");
+    }
+
+    /// Returns the status that the entry answered.
+    async fn announce_term_to(&self, peer: SocketAddr, term: &Term) -> Option<u16> {
+        let call = Call::new(Method::Post, format!("/terms/{}/begun", term.owner.term));
         let began = Instant::now();
-        while began.elapsed() < DEPOSE_LIMIT && !term.is_ended() {
-            match self.client.call(earlier.peers, &call, ANSWER_TIMEOUT).await {
-                Ok(reply) => {
-                    log::info!(scheduler:% = earlier.entry, term = earlier.term, status = reply.status; "earlier scheduler told that its term is over");
-                    return;
-                }
-                // Its process has ended.
-                Err(e) if e.is_refused() => return,
-                Err(_) => task::sleep(DEPOSE_PAUSE).await,
+        while began.elapsed() < ANNOUNCE_LIMIT && !term.is_ended() {
+            match self.client.call(peer, &call, ANSWER_TIMEOUT).await {
+                Ok(reply) => return Some(reply.status),
+                Err(_) => task::sleep(ANNOUNCE_PAUSE).await,
             }
         }
-        log::warn!(scheduler:% = earlier.entry, term = earlier.term; "no answer of the earlier scheduler; it may still extend leases");
+        None
     }
 
     /// State of a job; `None` if the scheduler doesn't know it or gives no answer.
@@ -202,9 +244,10 @@
 pub fn add_routes(app: &mut tide::Server<Arc<View>>) {
     app.at("/jobs/:job").put(put_job).delete(delete_job).get(get_job);
     app.at("/queues/:queue").get(get_queue);
+    app.at("/terms/:term").get(get_term);
+    app.at("/terms/:term/begun").post(record_begun_term);
     app.at("/terms/:term/handover").post(hand_over);
     app.at("/terms/:term/relief").post(relieve);
-    app.at("/terms/:term/over").post(end_deposed);
 }
 
 /// Term of this entry, if it schedules and has loaded the jobs.
@@ -244,7 +287,7 @@
 }
 
 async fn hand_over(req: Request<Arc<View>>) -> tide::Result {
-    let requested_term = req.param("term").ok().and_then(|t| t.parse().ok());
+    let requested_term = term_param(&req);
     match loaded_term(&req) {
         // Before the runs of earlier terms are reconciled, a handover would make the next scheduler start the
         // reconciliation again.
@@ -269,10 +312,12 @@
 /// Ends the lease of a scheduler that has lost the store, and probes the store at once to take over. An entry that has
 /// not just heard from the store refuses, as the store may be lost for all.
 async fn relieve(mut req: Request<Arc<View>>) -> tide::Result {
-    let requested_term = req.param("term").ok().and_then(|t| t.parse().ok());
+    let requested_term = term_param(&req);
     let relief: Relief = records::decode(&req.body_bytes().await?)?;
     let view = req.state();
-    if view.is_current() && view.scheduler().map(|o| o.term) != requested_term {
+    let is_over =
+        requested_term.is_some_and(|term| matches!(view.judge_term(term), TermAnswer::Over | TermAnswer::NotCurrent));
+    if is_over {
         return Ok(Response::new(StatusCode::Conflict));
     }
     if !view.reaches_store() || view.is_stopping() {
@@ -291,13 +336,26 @@
     })
 }
 
-/// Ends the term of this entry if a later one has begun.
-async fn end_deposed(req: Request<Arc<View>>) -> tide::Result {
-    let over = req.param("term").ok().and_then(|t| t.parse().ok());
-    if let Some(term) = req.state().term().filter(|t| over.is_some_and(|over: u32| t.owner.term <= over)) {
+fn term_param(req: &Request<Arc<View>>) -> Option<u32> {
+    req.param("term").ok().and_then(|t| t.parse().ok())
+}
+
+/// Answers what this entry knows of a term.
+async fn get_term(req: Request<Arc<View>>) -> tide::Result {
+    let Some(term) = term_param(&req) else { return Ok(Response::new(StatusCode::BadRequest)) };
+    Ok(json_response(&req.state().judge_term(term)))
+}
+
+/// Records that a later term has begun, and ends the term of this entry if it is an earlier one.
+async fn record_begun_term(req: Request<Arc<View>>) -> tide::Result {
+    let Some(begun) = term_param(&req) else { return Ok(Response::new(StatusCode::BadRequest)) };
+    let view = req.state();
+    view.record_term(begun);
+    if let Some(term) = view.term().filter(|t| t.owner.term < begun) {
         term.end("another entry has begun a later term");
     }
-    Ok(Response::new(StatusCode::Ok))
+    // The scheduler before the one of this entry may still act if that one's term was short.
+    Ok(Response::new(if view.have_earlier_stopped() { StatusCode::Ok } else { StatusCode::Accepted }))
 }
 
 async fn get_queue(req: Request<Arc<View>>) -> tide::Result {
--- a/crates/carawaybarrow/src/node/term.rs
+++ b/crates/carawaybarrow/src/node/term.rs
@@ -30,10 +30,6 @@
 /// Time since the last confirmed renewal of the lease after which the store counts as lost. Two renewals fit into it.
 const STORE_CONTACT_LIMIT: Millis = Millis(1_000);
 
-/// Time since the last confirmation of the term after which no orders about VMs are given. A later scheduler gives its
-/// first ones 3 s after it began, and a call takes up to 1 s.
-const VM_ORDER_LIMIT: Millis = Millis(2_000);
-
 /// Time after which an order that was not sent is dropped. A process that was paused may no longer schedule, and a plan
 /// that old no longer fits.
 const MAX_ORDER_AGE: Millis = Millis(400);
@@ -86,12 +82,12 @@
     ended: AtomicBool,
     /// Time at which the last renewal of the lease was sent, in ms; 0 if it failed.
     renewed_at: AtomicU64,
-    /// Time in ms at which the store, or other entries without the store, were last asked and did not know of a later
-    /// term.
-    confirmed_at: AtomicU64,
+    /// Whether the term was confirmed at the last check.
+    was_confirmed: AtomicBool,
     write_notify: Notify,
     plan_notify: Notify,
     recovery_set_notify: Notify,
+    previous_stopped_notify: Notify,
 }
 
 impl Term {
@@ -123,10 +119,11 @@
             evacuations_start: AtomicU64::new(0),
             ended: AtomicBool::new(false),
             renewed_at: AtomicU64::new(view::now().mono.0),
-            confirmed_at: AtomicU64::new(view::now().mono.0),
+            was_confirmed: AtomicBool::new(true),
             write_notify: Notify::new(),
             plan_notify: Notify::new(),
             recovery_set_notify: Notify::new(),
+            previous_stopped_notify: Notify::new(),
         }
     }
 
@@ -178,15 +175,36 @@
         self.record_confirmation(sent);
     }
 
-    /// Records that the term goes on as far as the store knew, or entries that have lost it too, when asked at a time.
-    pub fn record_confirmation(&self, asked: MonoTime) {
-        self.confirmed_at.fetch_max(asked.0, Ordering::SeqCst);
+    /// Records that no later term had begun at a time, according to the store or to all other entries.
+    pub fn record_confirmation(&self, at: MonoTime) {
+        self.with(|s| s.confirm(at));
     }
 
     /// Time since the term was last confirmed.
     #[must_use]
     pub fn confirmation_age(&self) -> Millis {
-        view::now().mono.since(MonoTime(self.confirmed_at.load(Ordering::SeqCst)))
+        view::now().mono.since(self.with(|s| s.confirmed_at()))
+    }
+
+    /// Logs when the term stops being confirmed, and when it is confirmed again.
+    pub fn log_confirmation(&self) {
+        let is_confirmed = self.is_confirmed();
+        if self.was_confirmed.swap(is_confirmed, Ordering::SeqCst) == is_confirmed {
+            return;
+        }
+        let age = self.confirmation_age().0;
+        if is_confirmed {
+            log::info!(term = self.owner.term, age_ms = age; "the term is confirmed again");
+            self.request_plan();
+        } else {
+            log::warn!(term = self.owner.term, age_ms = age; "the term is not confirmed; no tasks start and no leases are extended");
+        }
+    }
+
+    /// Whether the term goes on and was confirmed lately.
+    #[must_use]
+    pub fn is_confirmed(&self) -> bool {
+        !self.is_ended() && self.with(|s| s.is_confirmed(view::now().mono))
     }
 
     /// Records that a renewal of the lease failed.
@@ -200,12 +218,6 @@
         view::now().mono.since(MonoTime(self.renewed_at.load(Ordering::SeqCst))) <= STORE_CONTACT_LIMIT
     }
 
-    /// Whether the term goes on and was confirmed so lately that no later scheduler gives orders about VMs yet.
-    #[must_use]
-    pub fn may_order_vms(&self) -> bool {
-        !self.is_ended() && self.confirmation_age() <= VM_ORDER_LIMIT
-    }
-
     /// Whether the term has ended, so that this entry no longer schedules.
     #[must_use]
     pub fn is_ended(&self) -> bool {
@@ -217,12 +229,26 @@
         if !self.ended.swap(true, Ordering::SeqCst) {
             log::warn!(term = self.owner.term, token = self.revision.0, reason = reason; "term ended");
             self.view.set_term(None);
+            self.view.record_ended_term(self.with(|s| s.has_previous_stopped()));
         }
         self.write_notify.notify();
         self.plan_notify.notify();
         self.recovery_set_notify.notify();
     }
 
+    /// Records that the previous scheduler has stopped.
+    pub fn record_previous_stopped(&self) {
+        self.previous_stopped_notify.notify();
+    }
+
+    /// Waits until the previous scheduler is known to have stopped.
+    pub async fn wait_for_previous_stopped(&self) {
+        // The first term has no previous scheduler.
+        if self.owner.term > 0 {
+            self.previous_stopped_notify.wait().await;
+        }
+    }
+
     /// Waits until there are changes to store, or the term ends.
     pub async fn wait_for_writes(&self) {
         self.write_notify.wait().await;
@@ -247,7 +273,7 @@
     pub fn add_job(self: &Arc<Self>, job: &JobKey, record: JobRecord, created: u64) {
         self.with(|s| match record {
             JobRecord::Accepted(spec) => {
-                s.add_job(view::now(), job.clone(), spec, Progress::default(), created < self.revision.0);
+                s.add_job(view::now(), job.clone(), spec, Progress::default(), created);
             }
             JobRecord::Ended { state, at, .. } => s.add_ended(job.clone(), state, at),
         });
@@ -309,7 +335,7 @@
             return;
         }
         if let Order::Start(start) = &order
-            && view::now().mono.since(planned) > MAX_ORDER_AGE
+            && (view::now().mono.since(planned) > MAX_ORDER_AGE || !self.is_confirmed())
         {
             log::warn!(task:% = start.task, run = start.run, worker:% = start.worker; "start dropped, as it was not sent in time");
             let answer = StartAnswer::NotSent;
--- a/crates/carawaybarrow/src/node/view.rs
+++ b/crates/carawaybarrow/src/node/view.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use async_std::future;
+use carawaybarrow_core::sched::candidacy::TermAnswer;
 use carawaybarrow_core::sched::scheduler::Now;
 use carawaybarrow_core::units::{Millis, MonoTime};
 use carawaybarrow_platform::configuration::{self, Configuration};
@@ -28,6 +29,9 @@
 /// Time after an outage in which an entry can't tell whether a scheduler without the store is the only one that lost it.
 const REGAINED_AGE: Millis = Millis(3_000);
 
+/// Number of lists of the records in a row from which an entry may be missing and is kept.
+const MAX_MISSED_LISTS: usize = 2;
+
 /// Time for an answer to a probe; slow answers of a store under load take up to 0.5 s.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -46,6 +50,8 @@
     configuration_revision: StoreRevision,
     owner: Option<Owner>,
     owner_revision: StoreRevision,
+    /// Latest term that is known to have begun. It is kept when the term ends and when the store is lost.
+    latest_term: Option<u32>,
     /// Time at which the latest successful probe was sent.
     proved_at: Option<MonoTime>,
     is_store_lost: bool,
@@ -64,9 +70,13 @@
     pub metrics: Arc<NodeMetrics>,
     probed: RwLock<ProbedState>,
     term: Mutex<Option<Arc<Term>>>,
-    /// Other entries; `None` until their records were read.
-    others: Mutex<Option<Vec<Member>>>,
+    /// Other entries, each with the number of lists in a row that lack it; `None` until their records were read.
+    others: Mutex<Option<Vec<(Member, usize)>>>,
     stopping: AtomicBool,
+    /// Whether this entry is beginning a term.
+    beginning_term: AtomicBool,
+    /// Whether this entry has had a term, and all schedulers before that term had stopped when it ended.
+    have_earlier_stopped: AtomicBool,
     probe_request: Notify,
 }
 
@@ -83,6 +93,8 @@
             term: Mutex::default(),
             others: Mutex::default(),
             stopping: AtomicBool::new(false),
+            beginning_term: AtomicBool::new(false),
+            have_earlier_stopped: AtomicBool::new(false),
             probe_request: Notify::new(),
         }
     }
@@ -112,6 +124,49 @@
         self.probed().owner.clone()
     }
 
+    /// Records that a term has begun.
+    pub fn record_term(&self, term: u32) {
+        let mut probed = self.probed.write().expect("no holder panics");
+        probed.latest_term = probed.latest_term.max(Some(term));
+    }
+
+    /// Records whether this entry is beginning a term.
+    pub fn set_beginning_term(&self, is_beginning: bool) {
+        self.beginning_term.store(is_beginning, Ordering::SeqCst);
+    }
+
+    /// Records that a term of this entry has ended, and whether all earlier schedulers had stopped.
+    pub fn record_ended_term(&self, have_earlier_stopped: bool) {
+        self.have_earlier_stopped.store(have_earlier_stopped, Ordering::SeqCst);
+    }
+
+    /// Whether all schedulers before the last term of this entry had stopped when it ended.
+    #[must_use]
+    pub fn have_earlier_stopped(&self) -> bool {
+        self.have_earlier_stopped.load(Ordering::SeqCst)
+    }
+
+    /// What this entry knows of a term.
+    #[must_use]
+    pub fn judge_term(&self, term: u32) -> TermAnswer {
+        let (owner, latest_term, proved_at) = {
+            let probed = self.probed();
+            (probed.owner.as_ref().map(|o| o.term), probed.latest_term, probed.proved_at)
+        };
+        if latest_term > Some(term) {
+            return TermAnswer::Over;
+        }
+        match proved_at {
+            Some(at) if self.is_current() && owner == Some(term) => {
+                TermAnswer::Current { age: clock::boot_now().since(at) }
+            }
+            _ if self.is_current() => TermAnswer::NotCurrent,
+            // The store may have applied the beginning of a later term already.
+            _ if self.beginning_term.load(Ordering::SeqCst) => TermAnswer::Unknown,
+            _ => TermAnswer::StoreLost,
+        }
+    }
+
     /// Revision of the scheduler's key; [`StoreRevision::ABSENT`] if no entry schedules.
     #[must_use]
     pub fn scheduler_revision(&self) -> StoreRevision {
@@ -162,7 +217,7 @@
     pub fn strong_entries(&self) -> Vec<SocketAddr> {
         let members = self.others.lock().expect("no holder panics");
         let is_strong = |m: &&Member| !self.settings.strength.is_clearly_stronger_than(&m.strength);
-        let mut strong: Vec<&Member> = members.iter().flatten().filter(is_strong).collect();
+        let mut strong: Vec<&Member> = members.iter().flatten().map(|(m, _)| m).filter(is_strong).collect();
         strong.sort_by_key(|m| std::cmp::Reverse((m.strength.cpu, m.strength.link_kbps)));
         strong.into_iter().map(|m| m.peers).collect()
     }
@@ -172,11 +227,18 @@
         self.stopping.store(true, Ordering::SeqCst);
     }
 
+    /// Addresses of all other entries; `None` until their records were read.
+    #[must_use]
+    pub fn known_entries(&self) -> Option<Vec<SocketAddr>> {
+        let members = self.others.lock().expect("no holder panics");
+        members.as_ref().map(|members| members.iter().map(|(m, _)| m.peers).collect())
+    }
+
     /// Addresses of other entries; the one that schedules comes first.
     #[must_use]
     pub fn other_entries(&self) -> Vec<SocketAddr> {
         let members = self.others.lock().expect("no holder panics");
-        let mut others: Vec<SocketAddr> = members.iter().flatten().map(|m| m.peers).collect();
+        let mut others: Vec<SocketAddr> = members.iter().flatten().map(|(m, _)| m.peers).collect();
         if let Some(scheduler) = self.scheduler().map(|o| o.peers).filter(|peers| *peers != self.settings.peers) {
             others.retain(|o| *o != scheduler);
             others.insert(0, scheduler);
@@ -184,9 +246,17 @@
         others
     }
 
-    /// Replaces the records of other entries.
-    pub fn set_other_entries(&self, others: Vec<Member>) {
-        *self.others.lock().expect("no holder panics") = Some(others);
+    /// Applies the list of the records of other entries. One that is no longer listed is kept for a while: its lease may
+    /// have lapsed in an outage of the store.
+    pub fn set_other_entries(&self, listed: Vec<Member>) {
+        let mut others = self.others.lock().expect("no holder panics");
+        let mut kept = others.take().unwrap_or_default();
+        kept.retain_mut(|(old, missed)| {
+            *missed += 1;
+            *missed <= MAX_MISSED_LISTS && listed.iter().all(|new| new.peers != old.peers)
+        });
+        kept.extend(listed.into_iter().map(|member| (member, 0)));
+        *others = Some(kept);
     }
 
     /// Time for which this entry yields to stronger ones when there is no scheduler; `None` while the others are
@@ -194,7 +264,7 @@
     #[must_use]
     pub fn takeover_delay(&self) -> Option<Millis> {
         let members = self.others.lock().expect("no holder panics");
-        let strengths: Vec<_> = members.as_ref()?.iter().map(|m| m.strength).collect();
+        let strengths: Vec<_> = members.as_ref()?.iter().map(|(m, _)| m.strength).collect();
         Some(self.settings.strength.takeover_delay(&strengths))
     }
 
@@ -328,6 +398,7 @@
                 None => log::info!(revision = item.revision.0; "no scheduler is known"),
             }
         }
+        probed.latest_term = probed.latest_term.max(owner.as_ref().map(|o| o.term));
         probed.owner = owner;
         probed.owner_revision = item.revision;
     }
--- a/crates/carawaybarrow/src/node/vm_orders.rs
+++ b/crates/carawaybarrow/src/node/vm_orders.rs
@@ -81,8 +81,9 @@
             continue;
         }
         for wave in &mut waves {
-            // The term may have ended during a call, or while the process was suspended.
-            if !term.may_order_vms() {
+            // The term may have ended during a call, or while the process was suspended. A later scheduler gives its first
+            // orders 3 s after it began, and a call takes up to 1 s.
+            if !term.is_confirmed() {
                 term.with(|s| s.end_long_evacuations(view::now().mono, wave, &listed));
                 continue;
             }
--- a/crates/core/benches/plan.rs
+++ b/crates/core/benches/plan.rs
@@ -71,6 +71,7 @@
 /// A scheduler whose workers have answered.
 fn scheduler() -> Scheduler {
     let mut scheduler = Scheduler::new(FencingToken(1), 0, Bounds::default(), Arc::new(policy()));
+    scheduler.confirm(now(0).mono);
     scheduler.apply_recovery_set(now(0).mono, Vec::new());
     let reports: Vec<_> = (0..WORKERS).map(report).collect();
     scheduler.set_workers(now(0).mono, reports.clone());
@@ -84,7 +85,7 @@
 
 fn add_jobs(scheduler: &mut Scheduler, count: usize) {
     for number in 0..count {
-        scheduler.add_job(now(0), JobKey::new(format!("{number:016x}")), job(number), Progress::default(), false);
+        scheduler.add_job(now(0), JobKey::new(format!("{number:016x}")), job(number), Progress::default(), 2);
     }
 }
 
--- a/crates/core/src/sched/candidacy.rs
+++ b/crates/core/src/sched/candidacy.rs
@@ -48,6 +48,63 @@
     }
 }
 
+/// What another entry knows of a term that a scheduler asks about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TermAnswer {
+    /// A later term has begun.
+    Over,
+    /// It has just heard from the store, which names no scheduler or one of another term. The term is over unless it has
+    /// just begun.
+    NotCurrent,
+    /// It has heard this long ago from the store that the term goes on.
+    Current {
+        /// Age of the proof.
+        age: Millis,
+    },
+    /// It has lost the store, and has neither begun a later term nor heard of one.
+    StoreLost,
+    /// It can't tell.
+    Unknown,
+    /// No answer came. Its process may run nevertheless, also if a connection was refused: a cut may refuse connections.
+    Silent,
+}
+
+/// What the answers of all other entries mean for a term.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TermState {
+    /// The term is over.
+    Over,
+    /// No later term had begun this long before the entries were asked.
+    Confirmed(Millis),
+    /// A later term may have begun.
+    Unconfirmed,
+}
+
+impl TermState {
+    /// Judges the answers of all other entries when the term was as old as `term_age`.
+    ///
+    /// Any entry that gave no answer may reach the store and have begun a later term, so without the store, only the
+    /// answers of all entries confirm a term.
+    #[must_use]
+    pub fn judge(answers: &[TermAnswer], term_age: Millis) -> Self {
+        let is_over = |answer: &TermAnswer| match answer {
+            TermAnswer::Over => true,
+            TermAnswer::NotCurrent => term_age >= MIN_DEPOSED_AGE,
+            _ => false,
+        };
+        if answers.iter().any(is_over) {
+            return Self::Over;
+        }
+        let proofs = answers.iter().filter_map(|a| if let TermAnswer::Current { age } = a { Some(*age) } else { None });
+        match proofs.min() {
+            Some(age) => Self::Confirmed(age),
+            None if answers.iter().all(|a| *a == TermAnswer::StoreLost) => Self::Confirmed(Millis(0)),
+            None => Self::Unconfirmed,
+        }
+    }
+}
+
 /// Answer of another entry to a request for relief: that it ends the lease of a scheduler without the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReliefAnswer {
@@ -72,9 +129,7 @@
     Deposed,
     /// No entry answered, although at least one may run. The scheduler may be cut off, and another entry may take over.
     CutOff,
-    /// Other entries have lost the store too.
-    StoreLost,
-    /// The answers tell nothing.
+    /// The answers tell nothing. That some entries have lost the store too does not say that all have.
     Unknown,
 }
 
@@ -88,9 +143,7 @@
         } else if has(ReliefAnswer::OtherTerm) {
             // An entry may not have heard of a term that has just begun.
             if term_age >= MIN_DEPOSED_AGE { Self::Deposed } else { Self::Unknown }
-        } else if has(ReliefAnswer::NoStore) {
-            Self::StoreLost
-        } else if has(ReliefAnswer::Silent) {
+        } else if has(ReliefAnswer::Silent) && !has(ReliefAnswer::NoStore) {
             Self::CutOff
         } else {
             Self::Unknown
--- a/crates/core/src/sched/job.rs
+++ b/crates/core/src/sched/job.rs
@@ -133,8 +133,8 @@
     pub occurrences: Vec<Occurrence>,
     /// State. Callers see that it completed or failed only once that is stored.
     pub state: JobState,
-    /// Whether it was accepted before this term, so that an earlier scheduler may have started its tasks.
-    pub is_inherited: bool,
+    /// Revision of the store at which it was accepted.
+    pub created: u64,
     /// Whether it exceeds the share of its team.
     pub is_over_share: bool,
     /// Whether it was cancelled.
@@ -157,7 +157,7 @@
             spec,
             occurrences: Vec::new(),
             state: if progress == Progress::default() { JobState::Queued } else { JobState::Running },
-            is_inherited: false,
+            created: 0,
             is_over_share: false,
             is_cancelled: false,
             version: 0,
--- a/crates/core/src/sched/plan.rs
+++ b/crates/core/src/sched/plan.rs
@@ -53,6 +53,9 @@
     pub fn plan(&mut self, now: Now) {
         self.last_mono = now.mono;
         self.last_wall = now.wall;
+        if !self.is_confirmed(now.mono) {
+            return;
+        }
         let mut by_pool: Map<PoolName, Candidates> = Map::default();
         for (key, job) in &self.jobs {
             if job.state.is_final() || !self.is_job_reconciled(now.mono, job) {
--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -13,8 +13,9 @@
 use crate::sched::worker::Worker;
 use crate::units::{Millis, MonoTime};
 
-/// Maximum time for which a scheduler that lost its term may still extend leases: one poll and its answer.
-const PREVIOUS_TERM_OVERRUN: Millis = Millis(2_000);
+/// Time from the beginning of a term after which earlier schedulers start no tasks and extend no leases, as their terms
+/// were last confirmed before it.
+pub const PREVIOUS_TERM_OVERRUN: Millis = Millis(2_000);
 
 /// Time after a worker became known in which a list of VMs may not show it yet, as the list lags.
 const VM_LIST_LAG: Millis = Millis(2_000);
@@ -105,10 +106,8 @@
             worker.is_in_recovery_set = true;
             self.unreconciled.insert(key);
         }
-        // The longest lease of an earlier term, with a margin of 1 s, on a worker's clock that runs 2 % slow.
-        let longest_lease = self.bounds.max_lease.0.min(WORKER_LEASE.0 + 1_000) * 102 / 100;
         self.previous_stopped_by = now + PREVIOUS_TERM_OVERRUN;
-        self.reconcile_by = now + PREVIOUS_TERM_OVERRUN + Millis(longest_lease);
+        self.reconcile_by = now + PREVIOUS_TERM_OVERRUN + self.longest_earlier_lease();
         self.is_reconciled = false;
         self.check_reconciled(now);
     }
@@ -128,11 +127,31 @@
         self.is_reconciled
     }
 
+    /// The longest lease that an earlier term may grant, with a margin of 1 s, on a worker's clock that runs 2 % slow.
+    fn longest_earlier_lease(&self) -> Millis {
+        Millis(self.bounds.max_lease.0.min(WORKER_LEASE.0 + 1_000) * 102 / 100)
+    }
+
+    /// Records that earlier schedulers have stopped, and a revision that the store reached after that. Jobs that are
+    /// accepted later can only have been started in this term.
+    pub fn record_previous_stopped(&mut self, now: MonoTime, revision: u64) {
+        if self.previous_stopped.is_none() {
+            self.previous_stopped = Some(revision);
+            self.reconcile_by = self.reconcile_by.min(now + self.longest_earlier_lease());
+        }
+    }
+
+    /// Whether earlier schedulers are known to have stopped.
+    #[must_use]
+    pub const fn has_previous_stopped(&self) -> bool {
+        self.previous_stopped.is_some()
+    }
+
     /// Whether every run of the job that earlier terms may have started is known.
     pub(super) fn is_job_reconciled(&self, now: MonoTime, job: &Job) -> bool {
         // The previous scheduler may have been notified of a newer job too, and started it before a worker refused its
         // orders.
-        let is_new = !job.is_inherited && now >= self.previous_stopped_by;
+        let is_new = job.created > self.token.0 && now >= self.previous_stopped_by;
         is_new || (self.is_pool_reconciled(&job.spec.pool) && self.is_pool_reconciled(self.pool_of(&job.spec)))
     }
 
--- a/crates/core/src/sched/runs.rs
+++ b/crates/core/src/sched/runs.rs
@@ -296,6 +296,7 @@
     fn repeat_orders(&mut self, now: MonoTime, worker: &WorkerKey) {
         let Some(known) = self.workers.get(worker) else { return };
         let must_get_no_starts = known.must_get_no_starts();
+        let is_confirmed = self.is_confirmed(now);
         let names: Vec<(TaskName, u32)> = known.runs.iter().map(|(name, run)| (name.clone(), *run)).collect();
         for (name, number) in names {
             let run = self.run(&name, number);
@@ -307,7 +308,9 @@
                 Phase::Starting if must_get_no_starts => {
                     self.order_stop(now, &name, number, "start not confirmed before the worker is emptied");
                 }
-                Phase::Starting if now.since(run.last_ordered) >= START_RETRY => self.order_start(now, &name, number),
+                Phase::Starting if is_confirmed && now.since(run.last_ordered) >= START_RETRY => {
+                    self.order_start(now, &name, number)
+                }
                 Phase::Stopping if now.since(run.last_ordered) >= STOP_RETRY + self.bounds.stop_limit => {
                     self.order_stop(now, &name, number, "no end after a stop");
                 }
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -26,6 +26,13 @@
 /// Time since the last order after which a start is ordered again, once its call has ended without an answer.
 pub const START_RETRY: Millis = Millis(150);
 
+/// Time for which a term may start tasks and extend leases after it was last confirmed, that is, known to be the latest
+/// one. A later scheduler waits for [`PREVIOUS_TERM_OVERRUN`] on the ground that this one has stopped by then. The
+/// difference of 100 ms covers clocks of entries that run at different rates, and the time from a check to its order.
+///
+/// [`PREVIOUS_TERM_OVERRUN`]: crate::sched::recovery::PREVIOUS_TERM_OVERRUN
+pub const CONFIRMATION_LIMIT: Millis = Millis(1_900);
+
 /// Run numbers expected in one term; the next term starts above them.
 pub const RUNS_PER_TERM: u32 = 1_000;
 
@@ -82,6 +89,10 @@
     pub(super) reconcile_by: MonoTime,
     /// Time by which the previous scheduler has surely stopped.
     pub(super) previous_stopped_by: MonoTime,
+    /// Time at which this term was last known to be the latest one.
+    pub(super) confirmed_at: MonoTime,
+    /// A revision of the store that it reached after the previous scheduler had stopped; `None` until one is known.
+    pub(super) previous_stopped: Option<u64>,
     pub(super) is_reconciled: bool,
     /// Whether the workers have been listed in this term.
     pub(super) has_worker_list: bool,
@@ -120,6 +131,8 @@
             unreconciled: Set::default(),
             reconcile_by: MonoTime(0),
             previous_stopped_by: MonoTime(0),
+            confirmed_at: MonoTime(0),
+            previous_stopped: None,
             is_reconciled: false,
             has_worker_list: false,
             recovery_set_size: 0,
@@ -162,14 +175,33 @@
         }
     }
 
-    /// Adds an accepted job. A job is inherited if it was accepted before the term. Jobs of one team should be added in
-    /// the order of their acceptance, which decides which of them are within its share.
-    pub fn add_job(&mut self, now: Now, key: JobKey, spec: JobSpec, progress: Progress, is_inherited: bool) {
+    /// Records that no later term had begun at a time.
+    pub fn confirm(&mut self, at: MonoTime) {
+        self.confirmed_at = self.confirmed_at.max(at);
+    }
+
+    /// Time at which this term was last known to be the latest one.
+    #[must_use]
+    pub const fn confirmed_at(&self) -> MonoTime {
+        self.confirmed_at
+    }
+
+    /// Whether no later scheduler relies on this one having stopped, so that tasks may start and leases be extended.
+    #[must_use]
+    pub fn is_confirmed(&self, now: MonoTime) -> bool {
+        now.since(self.confirmed_at) <= CONFIRMATION_LIMIT
+    }
+
+    /// Adds an accepted job. `created` is the revision of the store at which it was accepted. Jobs of one team should be
+    /// added in the order of their acceptance, which decides which of them are within its share.
+    pub fn add_job(&mut self, now: Now, key: JobKey, spec: JobSpec, progress: Progress, created: u64) {
         if self.jobs.contains_key(&key) || self.ended.contains_key(&key) {
             return;
         }
         let mut job = Job::new(key.clone(), spec, progress);
-        job.is_inherited = is_inherited;
+        job.created = created;
+        // The token is the revision at which the term began.
+        let is_inherited = created < self.token.0;
         job.is_over_share = !self.consume_share(&job);
         job.objective = objective(self.policy.rules_of(&job.spec), &job.spec);
         job.add_due(now.mono, now.wall);
@@ -296,6 +328,7 @@
     /// known again, [`Self::take_unpolled`] returns it.
     pub fn start_poll(&mut self, now: MonoTime, key: &WorkerKey) -> Option<Poll> {
         let lease = self.lease_length();
+        let is_confirmed = self.is_confirmed(now);
         let Some(worker) = self.workers.get_mut(key) else {
             self.polled.remove(key);
             return None;
@@ -303,7 +336,7 @@
         worker.poll_sent = now;
         let is_answering = worker.last_answer.is_some_and(|at| now.since(at).0 < crate::sched::worker::SILENCE_LIMIT.0);
         // The lease of a silent worker must lapse, so that its tasks can start elsewhere.
-        let lease_until = if is_answering { worker.extend_lease(now, lease) } else { None };
+        let lease_until = if is_answering && is_confirmed { worker.extend_lease(now, lease) } else { None };
         let must_answer_at_once = worker.has_unstored_ends() || !is_answering || lease_until.is_none();
         let wait = match must_answer_at_once {
             true => Millis(0),
--- a/crates/core/tests/sched/model.rs
+++ b/crates/core/tests/sched/model.rs
@@ -10,6 +10,7 @@
 use carawaybarrow_core::sched::order::{EndKind, FencingToken, Order, StartAnswer, WorkerReport};
 use carawaybarrow_core::sched::policy::{Bounds, Policy, QueuePolicy, TeamPolicy};
 use carawaybarrow_core::sched::progress::{JobRecord, JobState, Progress};
+use carawaybarrow_core::sched::recovery::PREVIOUS_TERM_OVERRUN;
 use carawaybarrow_core::sched::scheduler::{Now, Scheduler};
 use carawaybarrow_core::sched::writes::JobWrite;
 use carawaybarrow_core::units::{Millis, MonoTime, WallTime};
@@ -52,6 +53,10 @@
     pub previous: Option<Scheduler>,
     /// Whether a worker has refused the token of the scheduler that acts.
     is_fenced: bool,
+    /// Whether the scheduler that acts is that of the previous term, whose term nothing confirms.
+    is_previous_acting: bool,
+    /// Time from which earlier schedulers start nothing.
+    previous_stopped_by: u64,
 }
 
 pub fn rules() -> QueuePolicy {
@@ -154,7 +159,10 @@
             advice: None,
             previous: None,
             is_fenced: false,
+            is_previous_acting: false,
+            previous_stopped_by: START_MS,
         };
+        model.scheduler.confirm(MonoTime(START_MS));
         model.scheduler.apply_recovery_set(MonoTime(START_MS), Vec::new());
         model.register_workers();
         model
@@ -183,7 +191,7 @@
         self.store.jobs.insert(key.clone(), (JobRecord::Accepted(spec.clone()), self.store.revision));
         let now = self.time();
         if let Some(previous) = &mut self.previous {
-            previous.add_job(now, key, spec, Progress::default(), false);
+            previous.add_job(now, key, spec, Progress::default(), self.store.revision);
         }
     }
 
@@ -196,8 +204,7 @@
         let now = self.time();
         match self.store.jobs.get(key).cloned() {
             Some((JobRecord::Accepted(spec), created)) => {
-                let is_inherited = created < self.scheduler.token().0;
-                self.scheduler.add_job(now, key.clone(), spec, Progress::default(), is_inherited);
+                self.scheduler.add_job(now, key.clone(), spec, Progress::default(), created);
             }
             Some((JobRecord::Ended { state, at, .. }, _)) => self.scheduler.add_ended(key.clone(), state, at),
             None => self.scheduler.reject_orphans(key),
@@ -216,8 +223,10 @@
         let Some(previous) = self.previous.take() else { return };
         let present = std::mem::replace(&mut self.scheduler, previous);
         self.is_fenced = false;
+        self.is_previous_acting = true;
         self.run_scheduler();
         self.poll(polled);
+        self.is_previous_acting = false;
         let previous = std::mem::replace(&mut self.scheduler, present);
         if !self.is_fenced {
             self.previous = Some(previous);
@@ -234,7 +243,7 @@
             match record {
                 JobRecord::Accepted(spec) => {
                     let progress = self.store.progress.get(&key).cloned().unwrap_or_default();
-                    self.scheduler.add_job(self.time(), key, spec, progress, created < token.0);
+                    self.scheduler.add_job(self.time(), key, spec, progress, created);
                 }
                 JobRecord::Ended { state, at, .. } => self.scheduler.add_ended(key, state, at),
             }
@@ -243,13 +252,27 @@
             self.scheduler.cancel_job(&key);
         }
         let reports: Vec<_> = self.workers.values().map(|w| w.report.clone()).collect();
+        self.previous_stopped_by = self.now + PREVIOUS_TERM_OVERRUN.0;
+        self.scheduler.confirm(MonoTime(self.now));
         self.scheduler.apply_recovery_set(MonoTime(self.now), reports);
         self.register_workers();
     }
 
+    /// Confirms the term of the scheduler that acts, unless it is the previous one.
+    fn confirm(&mut self) {
+        if self.is_previous_acting {
+            return;
+        }
+        self.scheduler.confirm(MonoTime(self.now));
+        if self.now >= self.previous_stopped_by {
+            self.scheduler.record_previous_stopped(MonoTime(self.now), self.store.revision);
+        }
+    }
+
     /// Polls one worker.
     pub fn poll(&mut self, key: &WorkerKey) {
         let now = self.time();
+        self.confirm();
         let Some(poll) = self.scheduler.start_poll(now.mono, key) else { return };
         let token = self.scheduler.token();
         let worker = self.workers.get_mut(key).expect("the worker exists");
@@ -273,6 +296,7 @@
 
     /// Plans and executes all orders.
     pub fn run_scheduler(&mut self) {
+        self.confirm();
         self.scheduler.tick(self.time());
         self.scheduler.plan(self.time());
         for order in self.scheduler.take_orders() {
