Give up silent workers by the last confirmation of the term

What callers saw: a task ran twice, or again after its end was acknowledged. Cause: a scheduler gave up a silent worker once the last lease that it had granted had lapsed by the present time.

A worker is given up, and the leases of earlier terms count as lapsed, only if they had lapsed when the term was last confirmed: no later term had begun by then.

--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -113,7 +113,9 @@
     }
 
     pub(super) fn check_reconciled(&mut self, now: MonoTime) {
-        if !self.is_reconciled && (self.unreconciled.is_empty() || now >= self.reconcile_by) {
+        // A later scheduler may have extended the leases of silent workers since this term was last confirmed.
+        let have_leases_lapsed = self.confirmed_at.min(now) >= self.reconcile_by;
+        if !self.is_reconciled && (self.unreconciled.is_empty() || have_leases_lapsed) {
             self.is_reconciled = true;
             let silent = std::mem::take(&mut self.unreconciled).len();
             self.events.push(Event::Reconciled { silent });
--- a/crates/core/src/sched/runs.rs
+++ b/crates/core/src/sched/runs.rs
@@ -281,7 +281,10 @@
                 continue;
             }
             if !worker.is_reachable(now) {
-                if worker.has_lapsed(now) && (worker.refuses_earlier_terms || self.is_reconciled()) {
+                // A later scheduler may have extended a lease that had not lapsed when this term was last confirmed.
+                if worker.has_lapsed(self.confirmed_at.min(now))
+                    && (worker.refuses_earlier_terms || self.is_reconciled())
+                {
                     let runs = worker.runs.len();
                     self.drop_runs(now, &key, |_| true);
                     self.drop_orphaned_runs(&key);
