Hold jobs back that the previous scheduler may have started

What callers saw: a task ran twice at once after a change of scheduler. Cause: a job that was accepted after a term began started 2 s later, even if a worker that may run it had not answered. The previous scheduler may have been notified of the job while it was still entitled to act, and have started it on that worker.

A new scheduler reads a revision of the store after the earlier ones have stopped: 2 s after its term began, or as soon as its predecessor answers that its term and all before have ended. Only jobs created after that revision start beside silent workers of the recovery set; the others wait until these have answered or their leases have lapsed.

The test new_job_waits_for_a_silent_worker_only_until_the_previous_scheduler_is_deposed asserted the faulty rule; its replacement, job_accepted_after_the_previous_scheduler_has_stopped_waits_for_no_silent_worker, asserts both sides of the new one.

--- a/crates/core/src/sched/plan.rs
+++ b/crates/core/src/sched/plan.rs
@@ -58,7 +58,7 @@
         }
         let mut by_pool: Map<PoolName, Candidates> = Map::default();
         for (key, job) in &self.jobs {
-            if job.state.is_final() || !self.is_job_reconciled(now.mono, job) {
+            if job.state.is_final() || !self.is_job_reconciled(job) {
                 continue;
             }
             self.collect_candidates(now, key, job, &mut by_pool);
--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -106,7 +106,6 @@
             worker.is_in_recovery_set = true;
             self.unreconciled.insert(key);
         }
-        self.previous_stopped_by = now + PREVIOUS_TERM_OVERRUN;
         self.reconcile_by = now + PREVIOUS_TERM_OVERRUN + self.longest_earlier_lease();
         self.is_reconciled = false;
         self.check_reconciled(now);
@@ -150,10 +149,9 @@
     }
 
     /// Whether every run of the job that earlier terms may have started is known.
-    pub(super) fn is_job_reconciled(&self, now: MonoTime, job: &Job) -> bool {
-        // The previous scheduler may have been notified of a newer job too, and started it before a worker refused its
-        // orders.
-        let is_new = job.created > self.token.0 && now >= self.previous_stopped_by;
+    pub(super) fn is_job_reconciled(&self, job: &Job) -> bool {
+        // The previous scheduler may have been notified of any job that was accepted before it stopped.
+        let is_new = self.previous_stopped.is_some_and(|revision| job.created > revision);
         is_new || (self.is_pool_reconciled(&job.spec.pool) && self.is_pool_reconciled(self.pool_of(&job.spec)))
     }
 
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -87,8 +87,6 @@
     pub(super) unreconciled: Set<WorkerKey>,
     /// Time by which the leases of earlier terms have lapsed.
     pub(super) reconcile_by: MonoTime,
-    /// Time by which the previous scheduler has surely stopped.
-    pub(super) previous_stopped_by: MonoTime,
     /// Time at which this term was last known to be the latest one.
     pub(super) confirmed_at: MonoTime,
     /// A revision of the store that it reached after the previous scheduler had stopped; `None` until one is known.
@@ -130,7 +128,6 @@
             writes: WriteQueue::default(),
             unreconciled: Set::default(),
             reconcile_by: MonoTime(0),
-            previous_stopped_by: MonoTime(0),
             confirmed_at: MonoTime(0),
             previous_stopped: None,
             is_reconciled: false,
--- a/crates/core/tests/sched/takeover.rs
+++ b/crates/core/tests/sched/takeover.rs
@@ -142,19 +142,24 @@
     assert_eq!(model.scheduler.take_orders().len(), 1);
 }
 
-/// Guards against new jobs that wait for the whole lease of a silent worker of the previous term. They need to wait
-/// only until the previous scheduler can no longer give orders.
+/// Guards against new jobs that wait for the lease of a silent worker of the previous term, although they were accepted
+/// after its scheduler had stopped, and against jobs that were accepted before and do not wait: that scheduler may have
+/// started them there.
 #[test]
-fn new_job_waits_for_a_silent_worker_only_until_the_previous_scheduler_is_deposed() {
+fn job_accepted_after_the_previous_scheduler_has_stopped_waits_for_no_silent_worker() {
     let mut model = Model::new(2);
     model.run_for(500);
     model.worker_mut(1).is_partitioned = true;
     model.replace_scheduler();
-    model.accept("j", job(vec![step(1, 1_000)]));
-    model.run_for(1_500);
-    assert_eq!(model.count_running(), 0);
-    model.run_for(1_000);
-    assert_eq!(model.count_running() + model.done.len(), 1);
+    model.accept("before", job(vec![step(1, 1_000)]));
+    model.run_for(2_200);
+    model.accept("after", job(vec![step(1, 1_000)]));
+    model.run_for(200);
+    assert_eq!(model.state("after"), Some(JobState::Running));
+    model.run_for(5_000);
+    assert_eq!(model.state("before"), Some(JobState::Queued));
+    model.run_for(400);
+    assert_ne!(model.state("before"), Some(JobState::Queued), "the leases have lapsed");
 }
 
 /// Guards against a worker over its capacity, because tasks start beside orphaned runs: the resources of a run whose
