Test ends of runs across two terms

Five tests fail on this code: a full first list of a worker hides ends, the recovery set leaves out workers with ends that are not stored or with orphaned runs, the end of an unknown job is acknowledged if an earlier incarnation had one with its number, and a job that is announced before the stored progress is read loses it.

--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -3,6 +3,7 @@
 mod capacity;
 mod directory;
 mod division;
+mod ends_across_terms;
 mod evacuation;
 mod hopeless;
 mod lifecycle;
