Simulate ends under overlapping terms, lost answers and late calls

The simulation checks the conditions of changes, loses and delays calls, and checks that an acknowledged end is stored and that no task starts after it.

--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -4,6 +4,8 @@
 mod directory;
 mod division;
 mod ends_across_terms;
+mod ends_model;
+mod ends_random;
 mod evacuation;
 mod hopeless;
 mod lifecycle;
