Let the simulated terms of the tests of ends confirm themselves

The simulation of ends ended an earlier term 1.9 s after its successor began, as nothing in the scheduler did. Terms are now confirmed until a later one begins, and an earlier scheduler goes on for up to 6 s unless it stops by itself, which is stricter.

--- a/crates/core/tests/sched/ends_across_terms.rs
+++ b/crates/core/tests/sched/ends_across_terms.rs
@@ -151,8 +151,8 @@
     let token = FencingToken(model.store.revision);
     model.scheduler = Scheduler::new(token, model.term, Bounds::default(), Arc::clone(&model.policy));
     let now = model.time();
-    model.scheduler.add_job(now, key.clone(), spec.clone(), Progress::default(), true);
-    model.scheduler.add_job(now, key, spec, stored, true);
+    model.scheduler.add_job(now, key.clone(), spec.clone(), Progress::default(), 0);
+    model.scheduler.add_job(now, key, spec, stored, 0);
     let reports = model.workers.values().map(|w| w.report.clone()).collect();
     model.scheduler.apply_recovery_set(MonoTime(model.now), reports);
     model.register_workers();
--- a/crates/core/tests/sched/ends_model.rs
+++ b/crates/core/tests/sched/ends_model.rs
@@ -10,6 +10,7 @@
 };
 use carawaybarrow_core::sched::policy::{Bounds, Policy};
 use carawaybarrow_core::sched::progress::{JobRecord, JobState, Progress};
+use carawaybarrow_core::sched::recovery::PREVIOUS_TERM_OVERRUN;
 use carawaybarrow_core::sched::scheduler::{Now, Scheduler};
 use carawaybarrow_core::sched::writes::JobWrite;
 use carawaybarrow_core::units::{MonoTime, WallTime};
@@ -19,8 +20,8 @@
 use super::model::{START_MS, STEP_MS, policy, report};
 use super::model_worker::ModelWorker;
 
-/// Time for which a scheduler may go on after its successor has begun, as the scheduler assumes.
-const OVERRUN_STEPS: u64 = 1_900 / STEP_MS;
+/// Longest time for which a scheduler does not notice that its successor has begun. It must stop before by itself.
+const OVERRUN_STEPS: u64 = 6_000 / STEP_MS;
 
 /// Writes of one change.
 const CHANGE_JOBS: usize = 15;
@@ -122,6 +123,7 @@
 pub struct ModelTerm {
     pub scheduler: Scheduler,
     token: u64,
+    began: u64,
     revisions: BTreeMap<JobKey, u64>,
     recovery_revision: Option<u64>,
     /// Progress as read at the start of the term, until the jobs are read.
@@ -190,6 +192,7 @@
                 ends: Vec::new(),
                 last_end: 0,
                 is_partitioned: false,
+                loses_answers: false,
                 incarnation: 1,
                 fails_tasks: false,
                 stop_ms: 0,
@@ -259,6 +262,7 @@
         self.terms.push(ModelTerm {
             scheduler,
             token,
+            began: self.now,
             revisions: BTreeMap::new(),
             recovery_revision: None,
             unloaded: Some((self.now + load_delay, self.store.progress.clone())),
@@ -286,7 +290,7 @@
         };
         for (key, (record, created)) in &self.store.jobs {
             let stored = progress.get(key).map(|(progress, _)| progress.clone()).unwrap_or_default();
-            add_job(&mut term.scheduler, now, key, record, stored, *created < term.token);
+            add_job(&mut term.scheduler, now, key, record, stored, *created);
         }
         term.revisions = progress.into_iter().map(|(key, (_, revision))| (key, revision)).collect();
         self.store.cancelled.iter().for_each(|key| term.scheduler.cancel_job(key));
@@ -298,7 +302,7 @@
         let now = self.time_of(term);
         for (key, (record, created)) in &self.store.jobs {
             if let JobRecord::Accepted(_) = record {
-                add_job(&mut term.scheduler, now, key, record, Progress::default(), *created < term.token);
+                add_job(&mut term.scheduler, now, key, record, Progress::default(), *created);
             }
         }
         self.store.cancelled.iter().for_each(|key| term.scheduler.cancel_job(key));
@@ -404,8 +408,7 @@
                 let now = self.time_of(term);
                 match self.store.jobs.get(&job) {
                     Some((record, created)) => {
-                        let is_inherited = *created < term.token;
-                        add_job(&mut term.scheduler, now, &job, record, Progress::default(), is_inherited);
+                        add_job(&mut term.scheduler, now, &job, record, Progress::default(), *created);
                     }
                     None => term.scheduler.reject_orphans(&job),
                 }
@@ -507,6 +510,10 @@
     }
 
     fn run_term(&mut self, term: &mut ModelTerm) {
+        // Nothing confirms a term once a later one has begun.
+        if term.ends_at.is_none() {
+            term.scheduler.confirm(MonoTime(self.now));
+        }
         self.load(term);
         if term.unloaded.is_some() {
             return;
@@ -519,6 +526,12 @@
             self.poll(term, &key);
         }
         let now = self.time_of(term);
+        if term.ends_at.is_none()
+            && self.now >= term.began + PREVIOUS_TERM_OVERRUN.0
+            && !self.is_store_lost(term.is_cut_from_store)
+        {
+            term.scheduler.record_previous_stopped(now.mono, self.store.revision);
+        }
         term.scheduler.tick(now);
         term.scheduler.plan(now);
         term.scheduler.take_events();
@@ -618,16 +631,9 @@
     }
 }
 
-fn add_job(
-    scheduler: &mut Scheduler,
-    now: Now,
-    key: &JobKey,
-    record: &JobRecord,
-    progress: Progress,
-    is_inherited: bool,
-) {
+fn add_job(scheduler: &mut Scheduler, now: Now, key: &JobKey, record: &JobRecord, progress: Progress, created: u64) {
     match record {
-        JobRecord::Accepted(spec) => scheduler.add_job(now, key.clone(), spec.clone(), progress, is_inherited),
+        JobRecord::Accepted(spec) => scheduler.add_job(now, key.clone(), spec.clone(), progress, created),
         JobRecord::Ended { state, at, .. } => scheduler.add_ended(key.clone(), *state, *at),
     }
 }
