Wait for the ends beyond a full list at a takeover

What callers saw: a task started again after its end was acknowledged. Cause: a worker lists at most 500 ends at a time, and counted as reconciled after its first list. Tasks whose ends come after the first 500 started again before these were listed, for example after a long outage of the store.

A worker counts as reconciled only once it has sent a list that is not full.

--- a/crates/core/src/sched/answers.rs
+++ b/crates/core/src/sched/answers.rs
@@ -54,7 +54,10 @@
             worker.refuses_earlier_terms = true;
             worker.has_orphans = has_orphans;
         }
-        self.unreconciled.remove(key);
+        // The ends that a full list leaves out may be of tasks that would start again.
+        if has_all_ends {
+            self.unreconciled.remove(key);
+        }
         self.check_reconciled(now.mono);
         if is_first_answer {
             let answered = self.workers.get(key).filter(|w| w.is_listed()).map(|w| w.report.clone());
