Keep workers with unstored ends or orphaned runs in the recovery set

What callers saw: a task started again after its end was acknowledged, or ran twice. Cause: the stored recovery set left out a worker without known runs that gets no tasks, although it listed ends that were not stored yet, or runs of jobs that the scheduler did not know. If the scheduler was lost then, its successor did not wait for that worker.

--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -176,10 +176,14 @@
         worker.is_available() || (worker.is_schedulable() && is_new)
     }
 
-    /// Whether the next scheduler has to know of a worker. Workers without runs that are cordoned or shutting down, or
-    /// that do not answer, are left out, because it would wait for them.
+    /// Whether the next scheduler has to know of a worker. Workers that are cordoned or shutting down, or that do not answer,
+    /// are left out if they have neither runs nor ends that are not stored, because it would wait for them.
     fn belongs_to_recovery_set(&self, worker: &Worker) -> bool {
-        self.may_get_tasks_soon(worker) || !worker.runs.is_empty() || self.unreconciled.contains(&worker.report.key)
+        self.may_get_tasks_soon(worker)
+            || !worker.runs.is_empty()
+            || worker.has_orphans
+            || worker.has_unstored_ends()
+            || self.unreconciled.contains(&worker.report.key)
     }
 
     /// Recovery set to store. The other workers get no runs from now on, as the stored set may no longer name them.
