Keep stored progress of a job that is announced before it is read

Cause: an entry that begins a term may be notified of a job before it has loaded the stored jobs. The job was added without progress, its stored progress was ignored, and the next write replaced it, so tasks that are done started again.

Progress that is loaded later is added to a job that is known already.

It calls the scheduler directly; no run of processes has shown this.

--- a/crates/core/src/sched/job.rs
+++ b/crates/core/src/sched/job.rs
@@ -193,7 +193,23 @@
 
     fn push_occurrence(&mut self, number: u32, due: MonoTime) {
         let new_step = |count: u32| StepState { tasks: vec![Task::default(); count as usize], done: 0 };
-        let mut steps: Vec<_> = self.spec.steps.iter().map(|s| new_step(s.count)).collect();
+        let steps: Vec<_> = self.spec.steps.iter().map(|s| new_step(s.count)).collect();
+        self.occurrences.push(Occurrence { steps, due });
+        self.apply_stored_progress(number);
+    }
+
+    /// Adds stored progress. Returns whether there is any.
+    pub fn merge_progress(&mut self, progress: Progress) -> bool {
+        if progress == Progress::default() {
+            return false;
+        }
+        self.stored_progress = progress;
+        (0..u32::try_from(self.occurrences.len()).unwrap_or(u32::MAX)).for_each(|o| self.apply_stored_progress(o));
+        true
+    }
+
+    fn apply_stored_progress(&mut self, number: u32) {
+        let Some(Occurrence { steps, .. }) = self.occurrences.get_mut(number as usize) else { return };
         for done in self.stored_progress.done.iter().filter(|d| d.occurrence == number) {
             let Some(step) = steps.get_mut(done.step as usize) else { continue };
             for &index in &done.tasks {
@@ -208,11 +224,10 @@
         for failed in self.stored_progress.failed.iter().filter(|f| f.occurrence == number) {
             let task = steps.get_mut(failed.step as usize).and_then(|s| s.tasks.get_mut(failed.task as usize));
             if let Some(task) = task {
-                task.last_run = failed.runs.iter().copied().max().unwrap_or(0);
+                task.last_run = failed.runs.iter().copied().max().unwrap_or(0).max(task.last_run);
                 task.failed_runs.clone_from(&failed.runs);
             }
         }
-        self.occurrences.push(Occurrence { steps, due });
     }
 
     /// A task by name.
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -192,7 +192,14 @@
     /// Adds an accepted job. `created` is the revision of the store at which it was accepted. Jobs of one team should be
     /// added in the order of their acceptance, which decides which of them are within its share.
     pub fn add_job(&mut self, now: Now, key: JobKey, spec: JobSpec, progress: Progress, created: u64) {
-        if self.jobs.contains_key(&key) || self.ended.contains_key(&key) {
+        if let Some(job) = self.jobs.get_mut(&key) {
+            // Another entry may announce a job before its progress is read.
+            if job.merge_progress(progress) {
+                self.finish_if_complete(&key);
+            }
+            return;
+        }
+        if self.ended.contains_key(&key) {
             return;
         }
         let mut job = Job::new(key.clone(), spec, progress);
