Tell orphaned ends of a worker's incarnations apart

Cause: each incarnation of a worker numbers its ends anew, and orphaned ends were settled by job and number alone. A stopped run of an earlier incarnation let the worker discard an end as done of the present one that was not stored.

--- a/crates/core/src/sched/orphans.rs
+++ b/crates/core/src/sched/orphans.rs
@@ -18,7 +18,8 @@
 #[derive(Debug, Default)]
 struct Orphan {
     runs: Vec<(WorkerKey, RunRow)>,
-    ends: Vec<(WorkerKey, EndRow)>,
+    /// Ends, each with the time since which the worker's incarnation is known, as each numbers its ends anew.
+    ends: Vec<(WorkerKey, MonoTime, EndRow)>,
     /// Time of the last request to look the job up.
     asked: Option<MonoTime>,
 }
@@ -55,11 +56,11 @@
     pub(super) fn keep_orphaned_end(&mut self, now: MonoTime, worker: &WorkerKey, end: EndRow) {
         let is_needed = !self.ended.contains_key(&end.task.job);
         let job = end.task.job.clone();
-        if let Some(known) = self.workers.get_mut(worker) {
-            known.record_end(end.number, is_needed.then(|| (job.clone(), NEVER_STORED)));
-        }
+        let Some(known) = self.workers.get_mut(worker) else { return };
+        known.record_end(end.number, is_needed.then(|| (job.clone(), NEVER_STORED)));
         if is_needed {
-            self.orphans.by_job.entry(job.clone()).or_default().ends.push((worker.clone(), end));
+            let since = known.known_since;
+            self.orphans.by_job.entry(job.clone()).or_default().ends.push((worker.clone(), since, end));
             self.look_up_job(now, &job);
         }
     }
@@ -90,12 +91,12 @@
     /// Applies the ends and runs that workers listed before the scheduler knew the job.
     pub(super) fn adopt_orphans(&mut self, now: MonoTime, job: &JobKey) {
         let Some(orphan) = self.orphans.by_job.remove(job) else { return };
-        for (worker, end) in orphan.ends {
+        for (worker, since, end) in orphan.ends {
             let needs = self.end_run(now, &worker, &end.task, end.run, end.kind, &end.checkpoint);
             if needs.is_some() {
                 self.record_holder(job, &worker);
             }
-            if let Some(known) = self.workers.get_mut(&worker) {
+            if let Some(known) = self.workers.get_mut(&worker).filter(|w| w.known_since == since) {
                 known.settle_end(job, end.number, needs);
             }
         }
@@ -107,8 +108,8 @@
     /// Stops the runs of a job that the store does not hold or shows as ended, and lets workers discard its ends.
     pub fn reject_orphans(&mut self, job: &JobKey) {
         let Some(orphan) = self.orphans.by_job.remove(job) else { return };
-        for (worker, end) in orphan.ends {
-            if let Some(known) = self.workers.get_mut(&worker) {
+        for (worker, since, end) in orphan.ends {
+            if let Some(known) = self.workers.get_mut(&worker).filter(|w| w.known_since == since) {
                 known.settle_end(job, end.number, None);
             }
         }
