Let an entry confirm no term before it has heard from the store

An entry whose later scheduler died, and that was started again without the store, answered that it knows of no later term. The earlier scheduler was confirmed by that while runs and leases of the later term went on (variant RESTART of spec/division.pml: violated; RESTART_SILENT, with this rule: holds). Such an entry now answers that it can't tell.

A scheduler also asks for no relief any more after its term has ended, as its log then looks like one that goes on.

Evidence: the model; no run of processes has shown this.

--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -282,7 +282,8 @@
                 log::info!(error:% = e; "the scheduler's lease is not renewed");
                 failures += 1;
                 // Another entry that reaches the store can take over before the lease lapses.
-                if let Some(round) = failures.checked_sub(FAILURES_BEFORE_RELIEF) {
+                let round = failures.checked_sub(FAILURES_BEFORE_RELIEF).filter(|_| !term.is_ended());
+                if let Some(round) = round {
                     match scheduler.request_relief(&term, round).await {
                         ReliefOutcome::Granted => return term.end("the store is lost and another entry takes over"),
                         ReliefOutcome::Deposed => return term.end("another entry knows that the term is over"),
--- a/crates/carawaybarrow/src/node/view.rs
+++ b/crates/carawaybarrow/src/node/view.rs
@@ -161,6 +161,8 @@
                 TermAnswer::Current { age: clock::boot_now().since(at) }
             }
             _ if self.is_current() => TermAnswer::NotCurrent,
+            // Before this entry was started again, it may have begun a later term.
+            None => TermAnswer::Unknown,
             // The store may have applied the beginning of a later term already.
             _ if self.beginning_term.load(Ordering::SeqCst) => TermAnswer::Unknown,
             _ => TermAnswer::StoreLost,
