--- a/crates/carawaybarrow/tests/soak.rs
+++ b/crates/carawaybarrow/tests/soak.rs
@@ -44,8 +44,10 @@
 /// Number of seeds with outages that run at the same time, each with up to nine processes.
 const OUTAGE_SEEDS_AT_ONCE: usize = 3;
 
-/// Seeds of the run in CI with divisions.
-const DIVISION_SEEDS: [u64; 2] = [600, 601];
+/// Seeds of the run in CI with divisions. They found faults. 641: a scheduler that was cut off together with other
+/// entries went on beside its successor, as those entries had lost the store too. 644: a scheduler that was cut off
+/// restarted tasks of silent workers, whose leases its successor had extended and whose ends it had acknowledged.
+const DIVISION_SEEDS: [u64; 2] = [641, 644];
 
 /// Number of seeds with divisions that run at the same time, each with up to nine processes.
 const DIVISION_SEEDS_AT_ONCE: usize = 2;
