--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -116,7 +116,10 @@
 pub async fn end_and_release_term(term: &Arc<Term>, reason: &str) {
     term.end(reason);
     job_writer::flush(term).await;
-    record_release(term).await;
+    // The next scheduler may order VMs at once only if the earlier ones have stopped too.
+    if term.with(|s| s.has_previous_stopped()) {
+        record_release(term).await;
+    }
     end_lease(term).await;
 }
 
@@ -131,6 +134,10 @@
 fn run_term(term: Arc<Term>, scheduler: Arc<SchedulerClient>, earlier: Option<Owner>) {
     log::info!(term = term.owner.term, token = term.revision.0; "term begun");
     term.view.set_term(Some(Arc::clone(&term)));
+    // Another entry may have announced a later term while the beginning of this one was being answered.
+    if term.view.latest_term() > Some(term.owner.term) {
+        return term.end("another entry has begun a later term");
+    }
     let announcement = (Arc::clone(&scheduler), Arc::clone(&term));
     task::spawn(async move { announcement.0.announce_term(&announcement.1, earlier).await });
     task::spawn(confirm_by_others(Arc::clone(&term), Arc::clone(&scheduler)));
@@ -275,8 +282,7 @@
                 term.record_renewal(sent);
             }
             Ok(false) => return term.end("the scheduler's lease has ended"),
-            // If the store is down, no other entry can take over either. If it still serves other entries, one of them
-            // may take over, and workers then refuse the orders of this term.
+            // The term goes on while the other entries confirm it.
             Err(e) => {
                 term.record_failed_renewal();
                 log::info!(error:% = e; "the scheduler's lease is not renewed");
--- a/crates/carawaybarrow/src/node/peers.rs
+++ b/crates/carawaybarrow/src/node/peers.rs
@@ -154,8 +154,9 @@
             log::warn!(peer:% = peer, term = term.owner.term, answer = text; "the store is lost; relief requested");
             answer
         };
+        let age = term.age();
         let answers = futures::future::join_all(peers.iter().map(ask)).await;
-        let outcome = ReliefOutcome::judge(&answers, term.age());
+        let outcome = ReliefOutcome::judge(&answers, age);
         log::info!(
             term = term.owner.term, answers:? = answers, outcome:? = outcome, confirmed_ms_ago = term.confirmation_age().0;
             "answers to the requests for relief"
@@ -177,9 +178,9 @@
                 Ok(Err(_)) | Err(_) => TermAnswer::Silent,
             }
         };
-        let asked = Instant::now();
+        let (asked, age) = (Instant::now(), term.age());
         let answers = futures::future::join_all(peers.iter().map(ask)).await;
-        let state = TermState::judge(&answers, term.age());
+        let state = TermState::judge(&answers, age);
         let count = |answer| answers.iter().filter(|a| **a == answer).count();
         log::info!(
             term = term.owner.term, entries = answers.len(), state:? = state, store_lost = count(TermAnswer::StoreLost),
@@ -354,8 +355,10 @@
     if let Some(term) = view.term().filter(|t| t.owner.term < begun) {
         term.end("another entry has begun a later term");
     }
-    // The scheduler before the one of this entry may still act if that one's term was short.
-    Ok(Response::new(if view.have_earlier_stopped() { StatusCode::Ok } else { StatusCode::Accepted }))
+    // The scheduler before the one of this entry may still act if that one's term was short. Terms are numbered without
+    // gaps.
+    let has_stopped = begun.checked_sub(1).is_some_and(|term| view.has_stopped_with_earlier(term));
+    Ok(Response::new(if has_stopped { StatusCode::Ok } else { StatusCode::Accepted }))
 }
 
 async fn get_queue(req: Request<Arc<View>>) -> tide::Result {
--- a/crates/carawaybarrow/src/node/term.rs
+++ b/crates/carawaybarrow/src/node/term.rs
@@ -228,8 +228,8 @@
     pub fn end(&self, reason: &str) {
         if !self.ended.swap(true, Ordering::SeqCst) {
             log::warn!(term = self.owner.term, token = self.revision.0, reason = reason; "term ended");
+            self.view.record_ended_term(self.owner.term, self.with(|s| s.has_previous_stopped()));
             self.view.set_term(None);
-            self.view.record_ended_term(self.with(|s| s.has_previous_stopped()));
         }
         self.write_notify.notify();
         self.plan_notify.notify();
--- a/crates/carawaybarrow/src/node/view.rs
+++ b/crates/carawaybarrow/src/node/view.rs
@@ -59,6 +59,13 @@
     regained_at: Option<MonoTime>,
 }
 
+impl ProbedState {
+    fn is_current(&self) -> bool {
+        let is_reached = self.proved_at.is_some_and(|at| clock::boot_now().since(at) <= REACHED_AGE);
+        is_reached && !self.is_store_lost
+    }
+}
+
 /// View of an entry, shared by its tasks.
 #[derive(Debug)]
 pub struct View {
@@ -75,8 +82,8 @@
     stopping: AtomicBool,
     /// Whether this entry is beginning a term.
     beginning_term: AtomicBool,
-    /// Whether this entry has had a term, and all schedulers before that term had stopped when it ended.
-    have_earlier_stopped: AtomicBool,
+    /// Last term of this entry that has ended, and whether all schedulers before it had stopped by then.
+    ended_term: Mutex<Option<(u32, bool)>>,
     probe_request: Notify,
 }
 
@@ -94,7 +101,7 @@
             others: Mutex::default(),
             stopping: AtomicBool::new(false),
             beginning_term: AtomicBool::new(false),
-            have_earlier_stopped: AtomicBool::new(false),
+            ended_term: Mutex::default(),
             probe_request: Notify::new(),
         }
     }
@@ -135,38 +142,45 @@
         self.beginning_term.store(is_beginning, Ordering::SeqCst);
     }
 
-    /// Records that a term of this entry has ended, and whether all earlier schedulers had stopped.
-    pub fn record_ended_term(&self, have_earlier_stopped: bool) {
-        self.have_earlier_stopped.store(have_earlier_stopped, Ordering::SeqCst);
+    /// Latest term that is known to have begun.
+    #[must_use]
+    pub fn latest_term(&self) -> Option<u32> {
+        self.probed().latest_term
+    }
+
+    /// Records that a term of this entry has ended, and whether all schedulers before it had stopped.
+    pub fn record_ended_term(&self, term: u32, have_earlier_stopped: bool) {
+        *self.ended_term.lock().expect("no holder panics") = Some((term, have_earlier_stopped));
     }
 
-    /// Whether all schedulers before the last term of this entry had stopped when it ended.
+    /// Whether a term of this entry has ended, and all schedulers before it had stopped by then.
     #[must_use]
-    pub fn have_earlier_stopped(&self) -> bool {
-        self.have_earlier_stopped.load(Ordering::SeqCst)
+    pub fn has_stopped_with_earlier(&self, term: u32) -> bool {
+        *self.ended_term.lock().expect("no holder panics") == Some((term, true))
     }
 
     /// What this entry knows of a term.
     #[must_use]
     pub fn judge_term(&self, term: u32) -> TermAnswer {
-        let (owner, latest_term, proved_at) = {
-            let probed = self.probed();
-            (probed.owner.as_ref().map(|o| o.term), probed.latest_term, probed.proved_at)
-        };
-        if latest_term > Some(term) {
+        // This is read first: once it is reset, the view shows the term that has begun.
+        let is_beginning_term = self.beginning_term.load(Ordering::SeqCst);
+        let probed = self.probed();
+        if probed.latest_term > Some(term) {
             return TermAnswer::Over;
         }
-        match proved_at {
-            Some(at) if self.is_current() && owner == Some(term) => {
-                TermAnswer::Current { age: clock::boot_now().since(at) }
-            }
-            _ if self.is_current() => TermAnswer::NotCurrent,
-            // Before this entry was started again, it may have begun a later term.
-            None => TermAnswer::Unknown,
-            // The store may have applied the beginning of a later term already.
-            _ if self.beginning_term.load(Ordering::SeqCst) => TermAnswer::Unknown,
-            _ => TermAnswer::StoreLost,
+        if probed.is_current() {
+            let age = probed.proved_at.map(|at| clock::boot_now().since(at));
+            return match age.filter(|_| probed.owner.as_ref().is_some_and(|o| o.term == term)) {
+                Some(age) => TermAnswer::Current { age },
+                None => TermAnswer::NotCurrent,
+            };
+        }
+        // The store may have applied the beginning of a later term already. An entry that has heard of no term may have
+        // begun one before it was started again.
+        if is_beginning_term || probed.latest_term.is_none() {
+            return TermAnswer::Unknown;
         }
+        TermAnswer::StoreLost
     }
 
     /// Revision of the scheduler's key; [`StoreRevision::ABSENT`] if no entry schedules.
@@ -191,9 +205,7 @@
     /// Whether the store has just answered this entry, so that the known scheduler is the present one.
     #[must_use]
     pub fn is_current(&self) -> bool {
-        let probed = self.probed();
-        let is_reached = probed.proved_at.is_some_and(|at| clock::boot_now().since(at) <= REACHED_AGE);
-        is_reached && !probed.is_store_lost
+        self.probed().is_current()
     }
 
     /// Whether the store has just answered this entry, and was not lost for it shortly before.
--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -13,8 +13,8 @@
 use crate::sched::worker::Worker;
 use crate::units::{Millis, MonoTime};
 
-/// Time from the beginning of a term after which earlier schedulers start no tasks and extend no leases, as their terms
-/// were last confirmed before it.
+/// Time from the beginning of a term after which earlier schedulers start no tasks and extend no leases. What confirms a
+/// term excludes that a later one had begun, so their terms were last confirmed before it.
 pub const PREVIOUS_TERM_OVERRUN: Millis = Millis(2_000);
 
 /// Time after a worker became known in which a list of VMs may not show it yet, as the list lags.
@@ -114,9 +114,17 @@
     pub(super) fn check_reconciled(&mut self, now: MonoTime) {
         // A later scheduler may have extended the leases of silent workers since this term was last confirmed.
         let have_leases_lapsed = self.confirmed_at.min(now) >= self.reconcile_by;
-        if !self.is_reconciled && (self.unreconciled.is_empty() || have_leases_lapsed) {
+        let mut silent = 0;
+        if have_leases_lapsed {
+            // A worker that has answered has more ends than a list holds, and this term extends its lease.
+            let confirmed_at = self.confirmed_at;
+            let may_list_more = |w: &Worker| w.is_reachable(now) || !w.has_lapsed(confirmed_at);
+            let before = self.unreconciled.len();
+            self.unreconciled.retain(|key| self.workers.get(key).is_some_and(may_list_more));
+            silent = before - self.unreconciled.len();
+        }
+        if !self.is_reconciled && self.unreconciled.is_empty() {
             self.is_reconciled = true;
-            let silent = std::mem::take(&mut self.unreconciled).len();
             self.events.push(Event::Reconciled { silent });
         }
     }
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -183,7 +183,7 @@
         self.confirmed_at
     }
 
-    /// Whether no later scheduler relies on this one having stopped, so that tasks may start and leases be extended.
+    /// Whether the term was confirmed lately, so that tasks may start and leases be extended.
     #[must_use]
     pub fn is_confirmed(&self, now: MonoTime) -> bool {
         now.since(self.confirmed_at) <= CONFIRMATION_LIMIT
