Spread the calls by which a scheduler asks and tells other entries

It asks three entries first, as one that reaches the store proves the term, and all only if none does. It tells eight at a time, its predecessor among the first; entries that reach the store learn of the term there anyway.

--- a/crates/carawaybarrow/src/node/peers.rs
+++ b/crates/carawaybarrow/src/node/peers.rs
@@ -11,6 +11,7 @@
 use carawaybarrow_core::sched::progress::{JobRecord, JobState};
 use carawaybarrow_platform::store::LeaseId;
 use http_types::Method;
+use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use tide::{Request, Response, StatusCode};
 
@@ -40,8 +41,15 @@
 /// Status of an entry that is told of a later term: its own term has ended, and all schedulers before it had stopped.
 const ALL_STOPPED: u16 = 200;
 
-/// Pause before an entry that did not answer is told again.
-const ANNOUNCE_PAUSE: Duration = Duration::from_millis(200);
+/// Number of entries that are told of a term at the same time. Those that reach the store learn of it there, so the calls
+/// are spread over some seconds and leave CPU and bandwidth to the new scheduler.
+const ANNOUNCED_AT_ONCE: usize = 8;
+
+/// Pause before further entries are told, or those that did not answer are told again.
+const ANNOUNCE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Number of entries that a scheduler asks about its term before it asks all.
+const FIRST_ASKED: usize = 3;
 
 /// Request of a scheduler that has lost the store.
 #[derive(Debug, Serialize, Deserialize)]
@@ -164,10 +172,26 @@
         outcome
     }
 
-    /// Asks all other entries whether a term goes on.
+    /// Asks other entries whether a term goes on: first a few, as one that reaches the store is enough, and then all.
     pub async fn ask_about_term(&self, term: &Term) -> TermState {
         // An entry that is not known may have begun a later term.
         let Some(peers) = self.view.known_entries() else { return TermState::Unconfirmed };
+        let age = term.age();
+        if peers.len() > FIRST_ASKED {
+            let few: Vec<SocketAddr> = peers.choose_multiple(&mut rand::rng(), FIRST_ASKED).copied().collect();
+            let answers = self.ask_entries(term, &few).await;
+            // Only a proof from the store confirms a term without the answers of all.
+            if answers
+                .iter()
+                .any(|a| matches!(a, TermAnswer::Over | TermAnswer::NotCurrent | TermAnswer::Current { .. }))
+            {
+                return TermState::judge(&answers, age);
+            }
+        }
+        TermState::judge(&self.ask_entries(term, &peers).await, age)
+    }
+
+    async fn ask_entries(&self, term: &Term, peers: &[SocketAddr]) -> Vec<TermAnswer> {
         let call = Call::new(Method::Get, format!("/terms/{}", term.owner.term));
         let ask = async |peer: &SocketAddr| {
             // The time limit of the call does not cover its connection.
@@ -178,16 +202,15 @@
                 Ok(Err(_)) | Err(_) => TermAnswer::Silent,
             }
         };
-        let (asked, age) = (Instant::now(), term.age());
+        let asked = Instant::now();
         let answers = futures::future::join_all(peers.iter().map(ask)).await;
-        let state = TermState::judge(&answers, age);
         let count = |answer| answers.iter().filter(|a| **a == answer).count();
         log::info!(
-            term = term.owner.term, entries = answers.len(), state:? = state, store_lost = count(TermAnswer::StoreLost),
+            term = term.owner.term, entries = answers.len(), store_lost = count(TermAnswer::StoreLost),
             silent = count(TermAnswer::Silent), unknown = count(TermAnswer::Unknown), took:? = asked.elapsed();
             "other entries asked about the term"
         );
-        state
+        answers
     }
 
     /// Tells the other entries, and the scheduler of the earlier term, that a later term has begun, until each answers. The
@@ -197,29 +220,34 @@
         let earlier = earlier.filter(|o| o.entry != term.owner.entry).map(|o| o.peers);
         let mut peers = self.view.known_entries().unwrap_or_default();
         peers.extend(earlier.filter(|e| !peers.contains(e)));
-        let tell = async |peer: &SocketAddr| {
-            let status = self.announce_term_to(*peer, term).await;
-            if earlier == Some(*peer) && status == Some(ALL_STOPPED) {
-                term.record_previous_stopped();
+        // The earlier scheduler comes first, as this one waits until it has stopped.
+        peers.sort_by_key(|peer| earlier != Some(*peer));
+        let began = Instant::now();
+        let count = peers.len();
+        while !peers.is_empty() && began.elapsed() < ANNOUNCE_LIMIT && !term.is_ended() {
+            let mut silent = Vec::new();
+            for few in peers.chunks(ANNOUNCED_AT_ONCE) {
+                let answers =
+                    futures::future::join_all(few.iter().map(|peer| self.announce_term_to(*peer, term))).await;
+                for (peer, status) in few.iter().zip(answers) {
+                    match status {
+                        Some(ALL_STOPPED) if earlier == Some(*peer) => term.record_previous_stopped(),
+                        Some(_) => {}
+                        None => silent.push(*peer),
+                    }
+                }
+                task::sleep(ANNOUNCE_PAUSE).await;
             }
-            status
-        };
-        let answers = futures::future::join_all(peers.iter().map(tell)).await;
-        let silent = answers.iter().filter(|status| status.is_none()).count();
-        log::info!(term = term.owner.term, entries = peers.len(), silent = silent; "term announced");
+            peers = silent;
+        }
+        log::info!(term = term.owner.term, entries = count, silent = peers.len(); "term announced");
     }
 
     /// Returns the status that the entry answered.
     async fn announce_term_to(&self, peer: SocketAddr, term: &Term) -> Option<u16> {
         let call = Call::new(Method::Post, format!("/terms/{}/begun", term.owner.term));
-        let began = Instant::now();
-        while began.elapsed() < ANNOUNCE_LIMIT && !term.is_ended() {
-            match self.client.call(peer, &call, ANSWER_TIMEOUT).await {
-                Ok(reply) => return Some(reply.status),
-                Err(_) => task::sleep(ANNOUNCE_PAUSE).await,
-            }
-        }
-        None
+        let reply = future::timeout(ANSWER_TIMEOUT, self.client.call(peer, &call, ANSWER_TIMEOUT)).await;
+        Some(reply.ok()?.ok()?.status)
     }
 
     /// State of a job; `None` if the scheduler doesn't know it or gives no answer.
