--- a/crates/core/tests/sched/ends_model.rs
+++ b/crates/core/tests/sched/ends_model.rs
@@ -604,7 +604,7 @@
     }
 
     /// Ends all faults.
-    pub fn heal(&mut self) {
+    pub fn end_faults(&mut self) {
         self.faults = Faults::default();
         self.store.is_down = false;
         self.unlisted.clear();
--- a/crates/core/tests/sched/ends_random.rs
+++ b/crates/core/tests/sched/ends_random.rs
@@ -117,7 +117,7 @@
         }
         model.step();
     }
-    model.heal();
+    model.end_faults();
     let is_open = |model: &EndsModel, n: u32| !model.state(&format!("j{n}")).is_some_and(JobState::is_final);
     for _ in 0..60 {
         model.run_for(1_000);
