Play cuts of a data centre together with its scheduler in the soak

Users saw tasks run twice in installations of eight entries in three data centres, in which a data centre and its scheduler were cut off twice, 47 s apart, while the other entries lost the store at times. The scenario Divisions draws single divisions of other shapes and never has both sides without the store in this order.

The scenario DataCentreCuts plays that shape; durations, workers of each side and losses of the store are drawn from the seed. An installation can now have more entries in its first data centre. The draws of the other scenarios are unchanged.

--- a/crates/carawaybarrow/tests/installation/divisions.rs
+++ b/crates/carawaybarrow/tests/installation/divisions.rs
@@ -44,8 +44,7 @@
 impl Installation {
     /// Entries of a data centre, by index.
     pub fn entries_of(&self, data_centre: usize) -> BTreeSet<usize> {
-        let data_centres = usize::from(self.data_centres);
-        (0..self.entries.len()).filter(|index| index % data_centres == data_centre).collect()
+        (0..self.entries.len()).filter(|index| self.size.data_centre_of(*index) == data_centre).collect()
     }
 
     /// Divides the installation, and returns a description.
--- a/crates/carawaybarrow/tests/installation/mod.rs
+++ b/crates/carawaybarrow/tests/installation/mod.rs
@@ -57,10 +57,17 @@
     /// Number of data centres, over which entries are spread in turn. With more than one, entries call each other through
     /// proxies, so that they can be cut off from each other.
     pub data_centres: u8,
+    /// Number of entries that the first data centre has beyond those spread in turn.
+    pub more_in_first: u8,
 }
 
 impl Size {
-    pub const SMALL: Self = Self { entries: 3, workers: 6, vm_api_delay: None, data_centres: 1 };
+    pub const SMALL: Self = Self { entries: 3, workers: 6, vm_api_delay: None, data_centres: 1, more_in_first: 0 };
+
+    /// Data centre of an entry.
+    pub fn data_centre_of(&self, entry: usize) -> usize {
+        entry.saturating_sub(self.more_in_first.into()) % usize::from(self.data_centres)
+    }
 }
 
 /// An entry process. It is killed on drop.
@@ -127,8 +134,7 @@
     pub entries: Vec<Arc<Mutex<Entry>>>,
     /// Folder of the settings and logs.
     pub folder: PathBuf,
-    /// Number of data centres.
-    pub data_centres: u8,
+    pub size: Size,
     /// Servers of the stand-ins, which run until they are dropped.
     servers: Vec<Handle>,
 }
@@ -172,7 +178,7 @@
             }
             let mut peer_proxy = None;
             if size.data_centres > 1 {
-                let data_centre = char::from(b'a' + entry_index % size.data_centres).to_string();
+                let data_centre = char::from(b'a' + size.data_centre_of(entry_index.into()) as u8).to_string();
                 let forwarded = SocketAddr::new(ip, FORWARDED_PORT);
                 text = behind_forwarder(&in_data_centre(&text, &data_centre), forwarded);
                 peer_proxy = Some(CallerProxy::start(SocketAddr::new(ip, PEERS_PORT), forwarded));
@@ -190,7 +196,7 @@
             entries.push(Arc::new(Mutex::new(entry)));
         }
         divisions::follow_processes(&entries);
-        Self { store, fleet, worker_proxies, entries, folder, data_centres: size.data_centres, servers }
+        Self { store, fleet, worker_proxies, entries, folder, size, servers }
     }
 
     /// Addresses of the entries for callers.
--- a/crates/carawaybarrow/tests/soak.rs
+++ b/crates/carawaybarrow/tests/soak.rs
@@ -3,7 +3,8 @@
 //! workers and the responses that callers received.
 //!
 //! `SOAK_SEEDS=100..150 cargo test --release --test soak -- --nocapture` runs other seeds, and `SOAK_OUTAGE_SEEDS` those
-//! of long outages and `SOAK_DIVISION_SEEDS` those of divisions. `SOAK_SEEDS_AT_ONCE` sets how many seeds run at the same time.
+//! of long outages, `SOAK_DIVISION_SEEDS` those of divisions and `SOAK_CUT_SEEDS` those of cuts of data centres.
+//! `SOAK_SEEDS_AT_ONCE` sets how many seeds run at the same time.
 
 mod installation;
 mod soak_faults;
@@ -18,8 +19,8 @@
 use carawaybarrow_standin::checker::find_violations;
 use carawaybarrow_standin::proxy::PathState;
 use carawaybarrow_standin::workers::{self, EndReason};
+use rand::SeedableRng;
 use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
 
 use installation::divisions::{Direction, Division};
 use installation::{Installation, KEY, Size, restart};
@@ -53,6 +54,12 @@
 /// Number of seeds with divisions that run at the same time, each with up to nine processes.
 const DIVISION_SEEDS_AT_ONCE: usize = 2;
 
+/// Seed of the run in CI with cuts of data centres.
+const CUT_SEEDS: [u64; 1] = [700];
+
+/// Number of seeds with cuts of data centres that run at the same time, each with up to nine processes.
+const CUT_SEEDS_AT_ONCE: usize = 2;
+
 /// Maximum time until a new installation accepts its first job.
 const START_LIMIT: Duration = Duration::from_secs(10);
 
@@ -89,14 +96,10 @@
         first = installation::submit(&caller, &entries, lasting_job.clone(), 0).await;
     }
     assert!(first.is_accepted, "seed {seed}: no entry accepts a job, see {}", installation.folder.display());
-    let deadline = Instant::now() + scenario.fault_duration();
+    let deadline = Instant::now() + scenario.fault_duration(&mut rng);
     // The jobs are drawn with another seed than the faults, so that the two sequences are independent.
     let sender = task::spawn(installation::send_jobs(entries.clone(), seed ^ 0x50a4, deadline, scenario.run_time_ms()));
-    let mut faults = Vec::new();
-    while Instant::now() < deadline {
-        task::sleep(Duration::from_millis(rng.random_range(scenario.pause_ms()))).await;
-        faults.push(format!("{:?} {}", started.elapsed(), scenario.inject_fault(&installation, &mut rng)));
-    }
+    let faults = scenario.inject_faults(&installation, &mut rng, started, deadline).await;
     // The last planned stop can take 4 s until its process is killed and restarted.
     task::sleep(Duration::from_secs(5)).await;
     installation.end_faults();
@@ -184,6 +187,14 @@
     run_seeds(Scenario::Divisions, &seeds, DIVISION_SEEDS_AT_ONCE);
 }
 
+/// Guards against tasks that run twice while a data centre is cut off together with its scheduler, and the other entries
+/// lose the store too.
+#[test]
+fn guarantees_hold_for_processes_in_cuts_of_data_centres() {
+    let seeds = seeds_of("SOAK_CUT_SEEDS").unwrap_or_else(|| CUT_SEEDS.to_vec());
+    run_seeds(Scenario::DataCentreCuts, &seeds, CUT_SEEDS_AT_ONCE);
+}
+
 /// Guards against an installation without a scheduler after its stronger entries were lost, because the weak one keeps
 /// yielding, and against a weak scheduler that stays although a stronger entry has returned.
 #[test]
@@ -284,7 +295,7 @@
 /// the store too, which does not show that the store is lost for all.
 #[test]
 fn scheduler_beside_one_more_entry_doubles_nothing() {
-    let size = Size { entries: 5, workers: 9, data_centres: 3, vm_api_delay: None };
+    let size = Size { entries: 5, workers: 9, data_centres: 3, more_in_first: 0, vm_api_delay: None };
     check_lasting_job(COMPANION_SEED, size, |installation, scheduler| {
         // The first entry is weak and is not asked for relief.
         let companion =
--- a/crates/carawaybarrow/tests/soak_faults/divisions.rs
+++ b/crates/carawaybarrow/tests/soak_faults/divisions.rs
@@ -72,11 +72,14 @@
 /// Draws a division by data centre, of the scheduler with up to two more entries, or of all entries but one.
 fn draw_division(installation: &Installation, scheduler: usize, rng: &mut StdRng) -> Division {
     let entries = installation.entries.len();
-    let data_centres = usize::from(installation.data_centres);
-    let home = scheduler % data_centres;
+    let data_centres = usize::from(installation.size.data_centres);
+    let home = installation.size.data_centre_of(scheduler);
     let other = rng.random_range(0..entries);
     let (side, worker_data_centres): (BTreeSet<usize>, Vec<usize>) = match rng.random_range(0..6) {
-        0 => (installation.entries_of(other % data_centres), vec![other % data_centres]),
+        0 => {
+            let side = installation.size.data_centre_of(other);
+            (installation.entries_of(side), vec![side])
+        }
         1 => (installation.entries_of(home), vec![home]),
         // A side of this size goes on finding entries without the store that it has not asked lately.
         2 | 3 => {
@@ -87,7 +90,8 @@
         _ => {
             let alone = (scheduler + rng.random_range(1..entries)) % entries;
             let side = (0..entries).filter(|index| *index != alone).collect();
-            (side, (0..data_centres).filter(|data_centre| *data_centre != alone % data_centres).collect())
+            let without = installation.size.data_centre_of(alone);
+            (side, (0..data_centres).filter(|data_centre| *data_centre != without).collect())
         }
     };
     let workers = 0..installation.worker_proxies.len();
--- a/crates/carawaybarrow/tests/soak_faults/mod.rs
+++ b/crates/carawaybarrow/tests/soak_faults/mod.rs
@@ -1,11 +1,12 @@
 //! Faults of the soak test, which end by themselves.
 
+mod data_centre_cuts;
 mod divisions;
 
 use std::collections::BTreeSet;
 use std::ops::Range;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::task;
 use carawaybarrow_standin::proxy::{PathState, Proxy};
@@ -121,6 +122,9 @@
     format!("{name}: {state:?} for {duration:?}")
 }
 
+/// Injects a random fault, which ends by itself, and returns its description.
+type Injection = fn(&Installation, &mut StdRng) -> String;
+
 /// Which faults are injected, and into what.
 #[derive(Clone, Copy, Debug)]
 pub enum Scenario {
@@ -131,6 +135,9 @@
     Outages,
     /// Divisions between the entries, in series and overlapping, together with outages of the store and lost entries.
     Divisions,
+    /// Two cuts of a data centre together with the scheduler that it holds, while the others lose the store at times, as
+    /// in the record of users that the page `docs/incidents/cut-off-data-centre.md` evaluates.
+    DataCentreCuts,
 }
 
 impl Scenario {
@@ -142,30 +149,31 @@
                 workers: rng.random_range(24..37),
                 vm_api_delay: Some(Duration::from_millis(*[4, 500].choose(rng).expect("the list is not empty"))),
                 data_centres: 1,
+                more_in_first: 0,
             },
             Self::Divisions => Size {
                 entries: rng.random_range(7..10),
                 workers: rng.random_range(24..37),
                 vm_api_delay: None,
                 data_centres: rng.random_range(3..5),
+                more_in_first: 0,
+            },
+            Self::DataCentreCuts => Size {
+                entries: 8,
+                workers: rng.random_range(24..37),
+                vm_api_delay: None,
+                data_centres: 3,
+                more_in_first: 2,
             },
         }
     }
 
-    pub const fn fault_duration(self) -> Duration {
+    /// Time during which faults are injected.
+    pub fn fault_duration(self, rng: &mut StdRng) -> Duration {
         match self {
             Self::Mixed => FAULT_DURATION,
             Self::Outages | Self::Divisions => OUTAGES_DURATION,
-        }
-    }
-
-    /// Time between faults in ms.
-    pub const fn pause_ms(self) -> Range<u64> {
-        match self {
-            Self::Mixed => 150..1_000,
-            Self::Outages => 400..2_500,
-            // Most divisions last undisturbed for longer than a successor waits for silent workers.
-            Self::Divisions => 1_000..5_000,
+            Self::DataCentreCuts => data_centre_cuts::draw_duration(rng),
         }
     }
 
@@ -174,7 +182,7 @@
         match self {
             Self::Mixed | Self::Outages => 3,
             // On the workers of each side, so that a scheduler beside another one doubles some of them.
-            Self::Divisions => 20,
+            Self::Divisions | Self::DataCentreCuts => 20,
         }
     }
 
@@ -184,16 +192,32 @@
             Self::Mixed => SHORT_RUN_TIME_MS,
             Self::Outages => 50..4_000,
             // All jobs together take less than the time after the last fault, as few end in between.
-            Self::Divisions => 50..1_500,
+            Self::Divisions | Self::DataCentreCuts => 50..1_500,
         }
     }
 
-    pub fn inject_fault(self, installation: &Installation, rng: &mut StdRng) -> String {
-        match self {
-            Self::Mixed => inject_fault(installation, rng),
-            Self::Outages => inject_outage(installation, rng),
-            Self::Divisions => divisions::inject(installation, rng),
+    /// Injects faults until `deadline`, and returns their descriptions with the time since `started`.
+    pub async fn inject_faults(
+        self,
+        installation: &Installation,
+        rng: &mut StdRng,
+        started: Instant,
+        deadline: Instant,
+    ) -> Vec<String> {
+        // Time between faults in ms, and the function that injects one.
+        let (pause_ms, inject): (Range<u64>, Injection) = match self {
+            Self::Mixed => (150..1_000, inject_fault),
+            Self::Outages => (400..2_500, inject_outage),
+            // Most divisions last undisturbed for longer than a successor waits for silent workers.
+            Self::Divisions => (1_000..5_000, divisions::inject),
+            Self::DataCentreCuts => return data_centre_cuts::inject_all(installation, rng, started, deadline).await,
+        };
+        let mut faults = Vec::new();
+        while Instant::now() < deadline {
+            task::sleep(Duration::from_millis(rng.random_range(pause_ms.clone()))).await;
+            faults.push(format!("{:?} {}", started.elapsed(), inject(installation, rng)));
         }
+        faults
     }
 }
 
