Show tasks that run twice beside an entry that is not listed

The answers of all listed entries confirm a scheduler that has lost the store, but an entry that it does not list can reach the store and begin a term meanwhile (variant JOIN of spec/division.pml). No process test covered this.

scheduler_that_is_not_listed_doubles_nothing starts such an entry when all listed ones lose the store. Each side reaches workers that the other does not. An installation can now start without some of its entries.

--- a/crates/carawaybarrow/tests/installation/mod.rs
+++ b/crates/carawaybarrow/tests/installation/mod.rs
@@ -142,6 +142,11 @@
 impl Installation {
     /// Starts an installation. `seed` selects its IP addresses.
     pub async fn start(seed: u64, size: Size) -> Self {
+        Self::start_first(seed, size, size.entries).await
+    }
+
+    /// Starts an installation without the processes of the entries from index `started` on.
+    pub async fn start_first(seed: u64, size: Size, started: u8) -> Self {
         let store = Store::default();
         let (address, handle) = store.serve().await.expect("a port for the store");
         let (fleet, handles) = Fleet::start(&store, POOL, size.workers).await.expect("ports for the workers");
@@ -192,7 +197,9 @@
                 peer_proxy,
                 child: None,
             };
-            entry.start();
+            if entry_index < started {
+                entry.start();
+            }
             entries.push(Arc::new(Mutex::new(entry)));
         }
         divisions::follow_processes(&entries);
--- a/crates/carawaybarrow/tests/soak.rs
+++ b/crates/carawaybarrow/tests/soak.rs
@@ -78,6 +78,10 @@
 /// the soak test may give the same addresses.
 const COMPANION_SEED: u64 = 240;
 
+/// Seed of the installation whose next scheduler is not listed. As for [`HANDOVER_SEED`], no seed of the soak test may
+/// give the same addresses.
+const UNLISTED_SEED: u64 = 242;
+
 /// Seed of the installation whose schedulers lose the store. As for [`HANDOVER_SEED`], no seed of the soak test may give
 /// the same addresses.
 const STORE_LOSS_SEED: u64 = 248;
@@ -255,10 +259,10 @@
 }
 
 /// Checks that no task of a lasting job runs twice, and that all run in the end, while `divide` cuts off the scheduler for
-/// [`ISOLATION_DURATION`]. `divide` gets the index of the scheduler.
-fn check_lasting_job(seed: u64, size: Size, divide: fn(&Installation, usize) -> String) {
+/// [`ISOLATION_DURATION`]. `divide` gets the index of the scheduler. At first, only the first `started` entries run.
+fn check_lasting_job(seed: u64, size: Size, started: u8, divide: fn(&Installation, usize) -> String) {
     task::block_on(async {
-        let installation = Installation::start(seed, size).await;
+        let installation = Installation::start_first(seed, size, started).await;
         let (caller, entries) = (Caller::new(KEY), installation.addresses());
         installation::await_start(&installation, &caller).await;
         let lasting_job = Job { id: format!("{seed:016x}"), steps: vec![20], run_time_ms: None };
@@ -286,7 +290,7 @@
 /// only it can reach, while its successor waits no longer than the last lease that it expects.
 #[test]
 fn isolated_scheduler_doubles_nothing() {
-    check_lasting_job(ISOLATION_SEED, Size::SMALL, |installation, scheduler| {
+    check_lasting_job(ISOLATION_SEED, Size::SMALL, Size::SMALL.entries, |installation, scheduler| {
         isolate_scheduler(installation, scheduler, ISOLATION_DURATION)
     });
 }
@@ -296,7 +300,7 @@
 #[test]
 fn scheduler_beside_one_more_entry_doubles_nothing() {
     let size = Size { entries: 5, workers: 9, data_centres: 3, more_in_first: 0, vm_api_delay: None };
-    check_lasting_job(COMPANION_SEED, size, |installation, scheduler| {
+    check_lasting_job(COMPANION_SEED, size, size.entries, |installation, scheduler| {
         // The first entry is weak and is not asked for relief.
         let companion =
             (1..installation.entries.len()).find(|index| *index != scheduler).expect("there are five entries");
@@ -310,3 +314,27 @@
         })
     });
 }
+
+/// Guards against tasks that run twice because an entry that the scheduler does not list begins a term, while all listed
+/// entries have lost the store and confirm the scheduler.
+#[test]
+fn scheduler_that_is_not_listed_doubles_nothing() {
+    let size = Size { entries: 5, workers: 9, data_centres: 3, more_in_first: 0, vm_api_delay: None };
+    check_lasting_job(UNLISTED_SEED, size, size.entries - 1, |installation, _| {
+        let unlisted = installation.entries.len() - 1;
+        for entry in &installation.entries[..unlisted] {
+            let proxy = entry.lock().expect("the lock is not poisoned").store_proxy.clone();
+            inject_path_fault(&proxy, PathState::Silent, ISOLATION_DURATION, "");
+        }
+        // Its record is stored only now, so that no other entry has read it.
+        restart(&installation.entries[unlisted]);
+        installation.divide(&Division {
+            side: BTreeSet::from([unlisted]),
+            direction: Direction::Both,
+            state: PathState::Silent,
+            loses_store: false,
+            workers: Some((0..installation.worker_proxies.len()).filter(|worker| worker % 3 != 0).collect()),
+            duration: ISOLATION_DURATION,
+        })
+    });
+}
