Prove no term to other entries before its key is read

A probe whose conflict leaves out the scheduler's key recorded its proof before it read the key, or although the read failed. Until the read was answered, the entry told a scheduler that the store had just named its term, although the key was gone. A later term that had begun and ended between two probes was then confirmed away. Found by reading; no run has shown it. The proof now waits for the key.

--- a/crates/carawaybarrow/src/node/view.rs
+++ b/crates/carawaybarrow/src/node/view.rs
@@ -317,12 +317,11 @@
             Ok(ChangeOutcome::Conflict(items)) => {
                 let has_owner = items.iter().any(|item| item.key == SCHEDULER_KEY);
                 let is_read = items.into_iter().all(|item| self.apply_item(item));
-                if is_read {
+                // The proof also says which term is the present one.
+                let is_owner_known = has_owner || self.read_owner().await;
+                if is_read && is_owner_known {
                     self.record_proof(sent);
                 }
-                if !has_owner {
-                    self.read_owner().await;
-                }
             }
             Ok(ChangeOutcome::NoLease) => log::error!("the store reports a missing lease for a probe, which has none"),
             Err(e) => {
@@ -337,8 +336,8 @@
         true
     }
 
-    /// Reads the scheduler's key, because a conflict leaves out keys that do not exist.
-    async fn read_owner(&self) {
+    /// Reads the scheduler's key, because a conflict leaves out keys that do not exist. Returns whether the store answered.
+    async fn read_owner(&self) -> bool {
         match self.store.get(SCHEDULER_KEY, PROBE_TIMEOUT).await {
             Ok(item) => {
                 let absent = Item {
@@ -348,8 +347,12 @@
                     created: StoreRevision::ABSENT,
                 };
                 self.apply_owner(&item.unwrap_or(absent));
+                true
+            }
+            Err(e) => {
+                log::info!(error:% = e; "the scheduler's key can't be read from the store");
+                false
             }
-            Err(e) => log::info!(error:% = e; "the scheduler's key can't be read from the store"),
         }
     }
 
