Let few successors begin and confirm terms

What could happen: all entries that a scheduler lists have lost the store and confirm its term, while an entry that it doesn't list reaches the store and begins the next one. And of many listed entries one is nearly always silent, which paused all starts while the store was away.

Cause: any entry could begin a term at any time, so only the answers of all of them confirmed one, and nobody knows all of them.

Change: each term stores its succession, up to four successors and the other entries that its scheduler lists. A successor may begin the next term at once, a listed entry after 6 s without a scheduler, any other one after 60 s. So without the store the successors confirm a term up to 5.76 s after the store last held it, and all listed entries up to 57.6 s. The scheduler replaces silent successors while it has the store. Relief and handovers are between the scheduler and its successors.

The review of the model against the code found three faults of the draft and of the code before, which are mended: the wait of an entry could count from a moment at which the last term went on; an entry whose beginning of a term got no answer confirmed the term before, although the store may apply the change late; and so did a restarted entry that had only been told of a term by another one.

The test of the answers of all entries moves to succession.rs, with the same cases for successors.

--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -1,5 +1,6 @@
 //! Acquires the scheduler's lease when no other entry holds it, renews it, and requests it from weaker entries.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use carawaybarrow_core::sched::progress::{JobRecord, Progress};
 use carawaybarrow_core::sched::recovery::PREVIOUS_TERM_OVERRUN;
 use carawaybarrow_core::sched::scheduler::Scheduler;
+use carawaybarrow_core::sched::succession::{Succession, Vacancy};
 use carawaybarrow_core::units::{Millis, MonoTime};
 use carawaybarrow_platform::configuration::{EVACUATION_PREFIX, evacuated_data_centre};
 use carawaybarrow_platform::store::{Change, ChangeOutcome, Item, LeaseId, StoreError, StoreRevision};
@@ -19,11 +21,11 @@
 use crate::node::peers::SchedulerClient;
 use crate::node::records::{
     self, JOB_PREFIX, JobItem, LAST_SCHEDULER_KEY, Owner, PROGRESS_PREFIX, RECOVERY_SET_KEY, RELEASED_TERM_KEY,
-    SCHEDULER_KEY, TERM_COUNT_KEY,
+    SCHEDULER_KEY, SUCCESSION_KEY, TERM_COUNT_KEY,
 };
 use crate::node::term::Term;
 use crate::node::view::{self, View};
-use crate::node::{job_writer, store_watches, vm_orders, worker_polls};
+use crate::node::{job_writer, store_watches, succession, vm_orders, worker_polls};
 
 /// Length of the scheduler's lease, unless the store grants only longer ones. A shorter lease would lapse in short
 /// outages; a longer one would leave the pools without a scheduler for longer after a failure.
@@ -71,6 +73,8 @@
 /// until the process stops.
 pub async fn run(view: Arc<View>, scheduler: Arc<SchedulerClient>, incarnation: u64) {
     let mut vacant_since = None;
+    let mut vacancy = Vacancy::default();
+    let mut wait_until = MonoTime(0);
     // Term of a weaker scheduler, and the time at which it was first observed.
     let mut weaker_since: Option<(u32, MonoTime)> = None;
     loop {
@@ -85,18 +89,17 @@
         let is_vacant = owner.as_ref().is_none_or(|o| o.entry == view.settings.entry && o.incarnation != incarnation);
         if has_answer && is_vacant && view.configuration().is_some() && view.term().is_none() {
             let since = *vacant_since.get_or_insert(now);
-            if view.takeover_delay().is_some_and(|delay| now.since(since) >= delay) {
-                view.set_beginning_term(true);
-                let begun = try_begin_term(&view, incarnation).await;
-                view.set_beginning_term(false);
-                match begun {
-                    Ok(Some((term, earlier))) => run_term(term, Arc::clone(&scheduler), earlier),
-                    Ok(None) => {}
+            if view.takeover_delay().is_some_and(|delay| now.since(since) >= delay) && now >= wait_until {
+                match try_begin_term(&view, incarnation, &mut vacancy).await {
+                    Ok(Attempt::Begun(term, earlier)) => run_term(*term, Arc::clone(&scheduler), earlier),
+                    Ok(Attempt::Waiting(remaining)) => wait_until = view::now().mono + remaining,
+                    Ok(Attempt::Conflict) => {}
                     Err(e) => log::warn!(error:% = e; "can't begin a term"),
                 }
             }
         } else {
             vacant_since = None;
+            wait_until = MonoTime(0);
         }
         let weaker = owner.filter(|o| has_answer && view.settings.strength.is_clearly_stronger_than(&o.strength));
         weaker_since =
@@ -131,8 +134,10 @@
     end_lease(term).await;
 }
 
-fn run_term(term: Arc<Term>, scheduler: Arc<SchedulerClient>, earlier: Option<Owner>) {
-    log::info!(term = term.owner.term, token = term.revision.0; "term begun");
+fn run_term(term: Term, scheduler: Arc<SchedulerClient>, earlier: Option<Owner>) {
+    let term = Arc::new(term);
+    let successors = term.succession().successors().len();
+    log::info!(term = term.owner.term, token = term.revision.0, successors = successors; "term begun");
     term.view.set_term(Some(Arc::clone(&term)));
     // Another entry may have announced a later term while the beginning of this one was being answered.
     if term.view.latest_term() > Some(term.owner.term) {
@@ -141,6 +146,7 @@
     let announcement = (Arc::clone(&scheduler), Arc::clone(&term));
     task::spawn(async move { announcement.0.announce_term(&announcement.1, earlier).await });
     task::spawn(confirm_by_others(Arc::clone(&term), Arc::clone(&scheduler)));
+    task::spawn(succession::keep(Arc::clone(&term), Arc::clone(&scheduler)));
     task::spawn(renew(Arc::clone(&term), scheduler));
     task::spawn(async move {
         if let Err(e) = load_jobs(&term).await {
@@ -186,12 +192,18 @@
     }
 }
 
-/// Acquires the scheduler's lease and key. Returns the term and the scheduler of the term before it; `None` if another
-/// entry was faster.
-async fn try_begin_term(
-    view: &Arc<View>,
-    incarnation: u64,
-) -> Result<Option<(Arc<Term>, Option<Owner>)>, ElectionError> {
+/// Outcome of an attempt to begin a term.
+enum Attempt {
+    /// The term, and the scheduler of the term before it.
+    Begun(Box<Term>, Option<Owner>),
+    /// This entry may begin a term after this time.
+    Waiting(Millis),
+    /// Another entry was faster.
+    Conflict,
+}
+
+/// Acquires the scheduler's lease and key, if this entry may begin the next term by now.
+async fn try_begin_term(view: &Arc<View>, incarnation: u64, vacancy: &mut Vacancy) -> Result<Attempt, ElectionError> {
     let store = &view.store;
     let terms = store.get(TERM_COUNT_KEY, STORE_TIMEOUT).await?;
     let (count, terms_revision) = match &terms {
@@ -201,8 +213,16 @@
     // The caller begins a term only if there is no scheduler, or if the scheduler's key is of an earlier incarnation of
     // this entry. A known scheduler is therefore that incarnation.
     let is_own_stale_key = view.scheduler().is_some();
-    let (released, earlier) =
-        futures::try_join!(store.get(RELEASED_TERM_KEY, STORE_TIMEOUT), store.get(LAST_SCHEDULER_KEY, STORE_TIMEOUT))?;
+    let (owner, released, earlier, succession) = futures::try_join!(
+        store.get(SCHEDULER_KEY, STORE_TIMEOUT),
+        store.get(RELEASED_TERM_KEY, STORE_TIMEOUT),
+        store.get(LAST_SCHEDULER_KEY, STORE_TIMEOUT),
+        store.get(SUCCESSION_KEY, STORE_TIMEOUT)
+    )?;
+    // The wait counts from a moment at which the last term of the count was over, so the key is read after the count.
+    if owner.is_some_and(|item| item.value.is_some() && item.revision != view.scheduler_revision()) {
+        return Ok(Attempt::Conflict);
+    }
     let released = match released {
         Some(Item { value: Some(value), .. }) => Some(records::decode::<u32>(&value)?),
         _ => None,
@@ -211,8 +231,27 @@
         Some(Item { value: Some(value), .. }) => Some(records::decode::<Owner>(&value)?),
         _ => None,
     };
+    let (succession, succession_revision) = match succession {
+        Some(Item { value: Some(value), revision, .. }) => (Some(records::decode::<Succession>(&value)?), revision),
+        _ => (None, StoreRevision::ABSENT),
+    };
     // A scheduler that recorded its release, or an earlier incarnation of this entry, gives no more VM orders.
     let may_order_vms_at_once = count == 0 || is_own_stale_key || released == Some(count - 1);
+    if let Some(last) = count.checked_sub(1) {
+        view.record_stored_term(last);
+        // The last scheduler acts no more if it has recorded its release, or if it was this entry. It was of a version
+        // without succession if it stored none; the other entries then had to confirm its term.
+        let has_stopped = released == Some(last)
+            || earlier.as_ref().is_some_and(|o| o.term == last && o.entry == view.settings.entry);
+        let delay = succession
+            .filter(|s| s.term == last && !has_stopped)
+            .map_or(Millis(0), |s| s.delay_of(&view.settings.peers));
+        let remaining = vacancy.remaining(count, delay, view::now().mono);
+        if remaining > Millis(0) {
+            log::info!(term = last, remaining_ms = remaining.0; "there is no scheduler; its successors come first");
+            return Ok(Attempt::Waiting(remaining));
+        }
+    }
     let lease = store.grant_lease(TERM_LEASE.max(view.settings.min_store_lease.to_duration()), STORE_TIMEOUT).await?;
     let owner = Owner {
         entry: view.settings.entry.clone(),
@@ -221,24 +260,29 @@
         incarnation,
         term: count,
     };
+    let has_failed = |peers: &SocketAddr| earlier.as_ref().is_some_and(|o| o.peers == *peers);
+    let succession = Succession::choose(count, &view.candidates().unwrap_or_default(), |peers| !has_failed(peers));
     let change = Change {
         expected: vec![
             (SCHEDULER_KEY.to_owned(), view.scheduler_revision()),
             (TERM_COUNT_KEY.to_owned(), terms_revision),
+            (SUCCESSION_KEY.to_owned(), succession_revision),
         ],
         puts: vec![
             (SCHEDULER_KEY.to_owned(), records::encode(&owner), Some(lease)),
             (TERM_COUNT_KEY.to_owned(), records::encode(&(count + 1)), None),
             (LAST_SCHEDULER_KEY.to_owned(), records::encode(&owner), None),
+            (SUCCESSION_KEY.to_owned(), records::encode(&succession), None),
         ],
         deletes: Vec::new(),
     };
     let asked = view::now().mono;
+    view.record_attempted_term(count);
     let revision = match store.change(&change, STORE_TIMEOUT).await {
         Ok(ChangeOutcome::Done(revision)) => revision,
         Ok(ChangeOutcome::Conflict(_)) => {
             end_unused_lease(view, lease).await;
-            return Ok(None);
+            return Ok(Attempt::Conflict);
         }
         Ok(ChangeOutcome::NoLease) => return LeaseEndedSnafu.fail(),
         Err(e) => {
@@ -261,9 +305,9 @@
     });
     let policy = view.configuration().map(|c| Arc::clone(&c.policy)).unwrap_or_default();
     let scheduler = Scheduler::new(FencingToken(revision.0), count, view.settings.bounds, policy);
-    let term = Term::new(owner, revision, lease, Arc::clone(view), scheduler, may_order_vms_at_once);
-    term.record_confirmation(asked);
-    Ok(Some((Arc::new(term), earlier)))
+    let term = Term::new(owner, revision, lease, Arc::clone(view), scheduler, succession, may_order_vms_at_once);
+    term.record_stored(asked);
+    Ok(Attempt::Begun(Box::new(term), earlier))
 }
 
 async fn end_unused_lease(view: &View, lease: LeaseId) {
@@ -288,9 +332,8 @@
                 log::info!(error:% = e; "the scheduler's lease is not renewed");
                 failures += 1;
                 // Another entry that reaches the store can take over before the lease lapses.
-                let round = failures.checked_sub(FAILURES_BEFORE_RELIEF).filter(|_| !term.is_ended());
-                if let Some(round) = round {
-                    match scheduler.request_relief(&term, round).await {
+                if failures >= FAILURES_BEFORE_RELIEF && !term.is_ended() {
+                    match scheduler.request_relief(&term).await {
                         ReliefOutcome::Granted => return term.end("the store is lost and another entry takes over"),
                         ReliefOutcome::Deposed => return term.end("another entry knows that the term is over"),
                         ReliefOutcome::CutOff => return term.end("the store and the other entries are lost"),
@@ -312,6 +355,7 @@
             let asked = view::now().mono;
             match scheduler.ask_about_term(&term).await {
                 TermState::Over => return term.end("another entry knows that the term is over"),
+                TermState::Proved(age) => term.record_stored(MonoTime(asked.0.saturating_sub(age.0))),
                 TermState::Confirmed(age) => term.record_confirmation(MonoTime(asked.0.saturating_sub(age.0))),
                 TermState::Unconfirmed => {}
             }
--- a/crates/carawaybarrow/src/node/members.rs
+++ b/crates/carawaybarrow/src/node/members.rs
@@ -16,6 +16,10 @@
 /// Time between reads of the other entries' records. A missing or outdated address costs one attempt of a write.
 const READ_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Time between the first two reads, which doubles with each further one up to [`READ_INTERVAL`]. A scheduler that begins a
+/// term before all entries have stored their records lists them soon.
+const EARLY_READ_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Length of the lease of an entry's record. An entry that is gone for good must leave the list, as a scheduler without
 /// the store needs the answers of all listed entries.
 const RECORD_LEASE: Duration = Duration::from_secs(30);
@@ -39,8 +43,10 @@
         task::sleep(FIRST_READ_DELAY).await;
         read_others_until_answered(&view).await;
     }
+    let mut interval = EARLY_READ_INTERVAL;
     while !view.is_stopping() {
-        task::sleep(READ_INTERVAL).await;
+        task::sleep(interval).await;
+        interval = READ_INTERVAL.min(interval * 2);
         keep_own_record(&view, &mut lease).await;
         read_others_until_answered(&view).await;
     }
@@ -80,7 +86,8 @@
     *lease = None;
     let key = records::entry_key(&view.settings.entry);
     let revision = view.store.get(&key, STORE_TIMEOUT).await?.map_or(StoreRevision::ABSENT, |i| i.revision);
-    let member = Member { peers: view.settings.peers, strength: view.settings.strength };
+    let data_centre = Some(view.settings.data_centre.clone());
+    let member = Member { peers: view.settings.peers, strength: view.settings.strength, data_centre };
     let length = RECORD_LEASE.max(view.settings.min_store_lease.to_duration());
     let new = view.store.grant_lease(length, STORE_TIMEOUT).await?;
     let change = Change {
--- a/crates/carawaybarrow/src/node/mod.rs
+++ b/crates/carawaybarrow/src/node/mod.rs
@@ -1,7 +1,7 @@
 //! The process of an entry on the platform. Every entry serves callers; the one that holds the scheduler's lease also
 //! schedules all pools.
 //!
-//! - `run`, `election`: start and stop of the process, begin and end of a term.
+//! - `run`, `election`, `succession`: start and stop of the process, begin and end of a term, and who may begin the next.
 //! - `view`, `members`, `records`: the entry's view of the configuration, the scheduler and the other entries, and the
 //!   documents in the store.
 //! - `callers`, `key_writes`, `peers`: requests of callers, and calls between entries.
@@ -20,6 +20,7 @@
 pub mod records;
 pub mod run;
 pub mod store_watches;
+pub mod succession;
 pub mod term;
 pub mod view;
 pub mod vm_orders;
--- a/crates/carawaybarrow/src/node/peers.rs
+++ b/crates/carawaybarrow/src/node/peers.rs
@@ -6,12 +6,13 @@
 use std::time::{Duration, Instant};
 
 use async_std::{future, task};
+use carawaybarrow_core::Map;
 use carawaybarrow_core::sched::candidacy::{ReliefAnswer, ReliefOutcome, TermAnswer, TermState};
 use carawaybarrow_core::sched::graph::{JobKey, QueueName};
 use carawaybarrow_core::sched::progress::{JobRecord, JobState};
+use carawaybarrow_core::units::Millis;
 use carawaybarrow_platform::store::LeaseId;
 use http_types::Method;
-use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use tide::{Request, Response, StatusCode};
 
@@ -31,9 +32,6 @@
 /// Time for an answer to a request for relief, which takes one call to the store.
 const RELIEF_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Number of entries that a scheduler asks for relief at the same time.
-const RELIEF_ATTEMPTS: usize = 3;
-
 /// Time for which a new scheduler tells the other entries of its term. It covers the time in which it waits for workers
 /// that have not answered.
 const ANNOUNCE_LIMIT: Duration = Duration::from_secs(10);
@@ -48,9 +46,6 @@
 /// Pause before further entries are told, or those that did not answer are told again.
 const ANNOUNCE_PAUSE: Duration = Duration::from_millis(100);
 
-/// Number of entries that a scheduler asks about its term before it asks all.
-const FIRST_ASKED: usize = 3;
-
 /// Request of a scheduler that has lost the store.
 #[derive(Debug, Serialize, Deserialize)]
 struct Relief {
@@ -58,6 +53,13 @@
     lease: u64,
 }
 
+/// Request of a stronger entry that the scheduler ends its term.
+#[derive(Debug, Serialize, Deserialize)]
+struct Handover {
+    /// Address of the stronger entry.
+    peers: SocketAddr,
+}
+
 /// A job that was just accepted.
 #[derive(Debug, Serialize, Deserialize)]
 struct NewJob {
@@ -134,7 +136,8 @@
 
     /// Requests that the scheduler ends its term, so that this entry can begin one. Returns whether it did.
     pub async fn request_handover(&self, owner: &Owner) -> bool {
-        let call = Call::new(Method::Post, format!("/terms/{}/handover", owner.term));
+        let call = Call::new(Method::Post, format!("/terms/{}/handover", owner.term))
+            .with_body(records::encode(&Handover { peers: self.view.settings.peers }));
         let answer = match self.client.call(owner.peers, &call, HANDOVER_TIMEOUT).await {
             Ok(reply) => format!("status {}", reply.status),
             Err(e) => e.to_string(),
@@ -143,15 +146,14 @@
         answer == "status 200"
     }
 
-    /// Asks some of the strong entries to end the lease of a term whose scheduler has lost the store, and to take over.
-    /// Each `round` asks others.
-    pub async fn request_relief(&self, term: &Term, round: usize) -> ReliefOutcome {
+    /// Asks the successors that are not clearly weaker to end the lease of a term whose scheduler has lost the store, and
+    /// to take over.
+    pub async fn request_relief(&self, term: &Term) -> ReliefOutcome {
         let call = Call::new(Method::Post, format!("/terms/{}/relief", term.owner.term))
             .with_body(records::encode(&Relief { lease: term.lease.0 }));
+        let succession = term.succession();
         let mut peers = self.view.strong_entries();
-        let skipped = round * RELIEF_ATTEMPTS % peers.len().max(1);
-        peers.rotate_left(skipped);
-        peers.truncate(RELIEF_ATTEMPTS);
+        peers.retain(|peer| succession.is_successor(peer));
         let ask = async |peer: &SocketAddr| {
             let reply = self.client.call(*peer, &call, RELIEF_TIMEOUT).await;
             let (answer, text) = match reply {
@@ -172,39 +174,39 @@
         outcome
     }
 
-    /// Asks other entries whether a term goes on: first a few, as one that reaches the store is enough, and then all.
+    /// Asks other entries whether a term goes on: first the possible successors, and then all, unless the successors are
+    /// enough.
     pub async fn ask_about_term(&self, term: &Term) -> TermState {
-        // An entry that is not known may have begun a later term.
-        let Some(peers) = self.view.known_entries() else { return TermState::Unconfirmed };
-        let age = term.age();
-        if peers.len() > FIRST_ASKED {
-            let few: Vec<SocketAddr> = peers.choose_multiple(&mut rand::rng(), FIRST_ASKED).copied().collect();
-            let answers = self.ask_entries(term, &few).await;
-            // Only a proof from the store confirms a term without the answers of all.
-            if answers
-                .iter()
-                .any(|a| matches!(a, TermAnswer::Over | TermAnswer::NotCurrent | TermAnswer::Current { .. }))
-            {
-                return TermState::judge(&answers, age);
-            }
+        let succession = term.succession();
+        let (age, stored_age) = (term.age(), term.stored_age());
+        let mut answers = self.ask_entries(term, &succession.successors()).await;
+        let state = succession.judge(&answers, age, stored_age);
+        if !matches!(state, TermState::Unconfirmed | TermState::Confirmed(Millis(1..))) {
+            return state;
         }
-        TermState::judge(&self.ask_entries(term, &peers).await, age)
+        let others: Vec<SocketAddr> =
+            succession.entries().into_iter().filter(|entry| !answers.contains_key(entry)).collect();
+        answers.extend(self.ask_entries(term, &others).await);
+        succession.judge(&answers, age, stored_age)
     }
 
-    async fn ask_entries(&self, term: &Term, peers: &[SocketAddr]) -> Vec<TermAnswer> {
+    /// Asks entries about a term, and returns their answers.
+    pub async fn ask_entries(&self, term: &Term, peers: &[SocketAddr]) -> Map<SocketAddr, TermAnswer> {
         let call = Call::new(Method::Get, format!("/terms/{}", term.owner.term));
         let ask = async |peer: &SocketAddr| {
             // The time limit of the call does not cover its connection.
             let call = future::timeout(ANSWER_TIMEOUT, self.client.call(*peer, &call, ANSWER_TIMEOUT));
-            match call.await {
+            let answer = match call.await {
                 Ok(Ok(reply)) if reply.status == 200 => reply.json().unwrap_or(TermAnswer::Unknown),
                 Ok(Ok(_)) => TermAnswer::Unknown,
                 Ok(Err(_)) | Err(_) => TermAnswer::Silent,
-            }
+            };
+            (*peer, answer)
         };
         let asked = Instant::now();
-        let answers = futures::future::join_all(peers.iter().map(ask)).await;
-        let count = |answer| answers.iter().filter(|a| **a == answer).count();
+        let answers: Map<SocketAddr, TermAnswer> =
+            futures::future::join_all(peers.iter().map(ask)).await.into_iter().collect();
+        let count = |answer| answers.values().filter(|a| **a == answer).count();
         log::info!(
             term = term.owner.term, entries = answers.len(), store_lost = count(TermAnswer::StoreLost),
             silent = count(TermAnswer::Silent), unknown = count(TermAnswer::Unknown), took:? = asked.elapsed();
@@ -315,9 +317,15 @@
     })
 }
 
-async fn hand_over(req: Request<Arc<View>>) -> tide::Result {
+async fn hand_over(mut req: Request<Arc<View>>) -> tide::Result {
     let requested_term = term_param(&req);
+    // Entries of earlier versions send no body. They are successors.
+    let requester = records::decode::<Handover>(&req.body_bytes().await?).ok();
     match loaded_term(&req) {
+        // The next scheduler would be one of the successors, and the requester would have to wait.
+        Ok(term) if requester.is_some_and(|r| !term.succession().is_successor(&r.peers)) => {
+            Ok(Response::new(StatusCode::Conflict))
+        }
         // Before the runs of earlier terms are reconciled, a handover would make the next scheduler start the
         // reconciliation again.
         Ok(term) if requested_term == Some(term.owner.term) && term.with(|s| s.is_reconciled()) => {
--- a/crates/carawaybarrow/src/node/records.rs
+++ b/crates/carawaybarrow/src/node/records.rs
@@ -16,6 +16,9 @@
 /// without the store, and must be told by its successor that its term is over.
 pub const LAST_SCHEDULER_KEY: &str = "scheduler/last";
 
+/// Key of the [`Succession`](carawaybarrow_core::sched::succession::Succession) of the last term that has begun.
+pub const SUCCESSION_KEY: &str = "scheduler/succession";
+
 /// Key of the number of terms that have begun.
 pub const TERM_COUNT_KEY: &str = "scheduler/terms";
 
@@ -87,12 +90,15 @@
 }
 
 /// Record by which other entries know an entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
     /// Address of this entry for other entries.
     pub peers: SocketAddr,
     /// CPU and bandwidth of its VM.
     pub strength: Strength,
+    /// Data centre of the entry; `None` if its version does not know successions.
+    #[serde(default)]
+    pub data_centre: Option<SmolStr>,
 }
 
 /// The entry that schedules, and its term.
--- a/crates/carawaybarrow/src/node/term.rs
+++ b/crates/carawaybarrow/src/node/term.rs
@@ -12,6 +12,7 @@
 use carawaybarrow_core::sched::order::{Order, StartAnswer};
 use carawaybarrow_core::sched::progress::{JobRecord, Progress};
 use carawaybarrow_core::sched::scheduler::Scheduler;
+use carawaybarrow_core::sched::succession::{KnownSuccession, Succession};
 use carawaybarrow_core::units::{Millis, MonoTime};
 use carawaybarrow_platform::advice::AdviceClient;
 use carawaybarrow_platform::store::{Item, LeaseId, StoreError, StoreRevision};
@@ -73,6 +74,10 @@
     began: MonoTime,
     /// Whether the previous scheduler is known to give no more VM orders.
     pub may_order_vms_at_once: bool,
+    /// Succession of this term, and the revision of its key.
+    succession: Mutex<(KnownSuccession, StoreRevision)>,
+    /// Last time in ms at which the store is known to have held this term.
+    stored_at: AtomicU64,
     /// Last known revisions of the stored progress of jobs.
     pub progress_revisions: Mutex<Map<JobKey, StoreRevision>>,
     scheduler: Mutex<Scheduler>,
@@ -99,6 +104,7 @@
         lease: LeaseId,
         view: Arc<View>,
         scheduler: Scheduler,
+        succession: Succession,
         may_order_vms_at_once: bool,
     ) -> Self {
         let workers = WorkerClient::new(&view.settings.entry);
@@ -112,6 +118,8 @@
             advice,
             began: view::now().mono,
             may_order_vms_at_once,
+            succession: Mutex::new((KnownSuccession::new(succession), revision)),
+            stored_at: AtomicU64::new(0),
             progress_revisions: Mutex::default(),
             scheduler: Mutex::new(scheduler),
             loaded: AtomicBool::new(false),
@@ -172,7 +180,39 @@
     /// Records that the store confirmed a renewal of the lease that was sent at a time.
     pub fn record_renewal(&self, sent: MonoTime) {
         self.renewed_at.store(sent.0, Ordering::SeqCst);
-        self.record_confirmation(sent);
+        self.record_stored(sent);
+    }
+
+    /// Records that the store held this term at a time.
+    pub fn record_stored(&self, at: MonoTime) {
+        self.stored_at.fetch_max(at.0, Ordering::SeqCst);
+        self.record_confirmation(at);
+    }
+
+    /// Time since the store is last known to have held this term.
+    #[must_use]
+    pub fn stored_age(&self) -> Millis {
+        view::now().mono.since(MonoTime(self.stored_at.load(Ordering::SeqCst)))
+    }
+
+    /// Succession of this term.
+    #[must_use]
+    pub fn succession(&self) -> KnownSuccession {
+        self.succession.lock().expect("no holder panics").0.clone()
+    }
+
+    /// Records that a write of a later succession is sent. Returns the revision that its key must still have.
+    pub fn record_succession_write(&self, succession: Succession) -> StoreRevision {
+        let mut known = self.succession.lock().expect("no holder panics");
+        known.0.record_write(succession);
+        known.1
+    }
+
+    /// Records the succession that the store holds, and the revision of its key.
+    pub fn record_stored_succession(&self, succession: Succession, revision: StoreRevision) {
+        let mut known = self.succession.lock().expect("no holder panics");
+        known.0.record_stored(succession);
+        known.1 = revision;
     }
 
     /// Records that no later term had begun at a time, according to the store or to all other entries.
--- a/crates/carawaybarrow/src/node/view.rs
+++ b/crates/carawaybarrow/src/node/view.rs
@@ -8,6 +8,7 @@
 use async_std::future;
 use carawaybarrow_core::sched::candidacy::TermAnswer;
 use carawaybarrow_core::sched::scheduler::Now;
+use carawaybarrow_core::sched::succession::Candidate;
 use carawaybarrow_core::units::{Millis, MonoTime};
 use carawaybarrow_platform::configuration::{self, Configuration};
 use carawaybarrow_platform::settings::Settings;
@@ -52,6 +53,8 @@
     owner_revision: StoreRevision,
     /// Latest term that is known to have begun. It is kept when the term ends and when the store is lost.
     latest_term: Option<u32>,
+    /// Whether the store has named a term to this process.
+    has_stored_term: bool,
     /// Time at which the latest successful probe was sent.
     proved_at: Option<MonoTime>,
     is_store_lost: bool,
@@ -80,8 +83,9 @@
     /// Other entries, each with the number of lists in a row that lack it; `None` until their records were read.
     others: Mutex<Option<Vec<(Member, usize)>>>,
     stopping: AtomicBool,
-    /// Whether this entry is beginning a term.
-    beginning_term: AtomicBool,
+    /// Latest term that this entry has tried to begin. Unless a term from that one on is known, the store may still apply
+    /// the change: its answer is not there yet, or was lost.
+    attempted_term: Mutex<Option<u32>>,
     /// Last term of this entry that has ended, and whether all schedulers before it had stopped by then.
     ended_term: Mutex<Option<(u32, bool)>>,
     probe_request: Notify,
@@ -100,7 +104,7 @@
             term: Mutex::default(),
             others: Mutex::default(),
             stopping: AtomicBool::new(false),
-            beginning_term: AtomicBool::new(false),
+            attempted_term: Mutex::default(),
             ended_term: Mutex::default(),
             probe_request: Notify::new(),
         }
@@ -131,15 +135,22 @@
         self.probed().owner.clone()
     }
 
-    /// Records that a term has begun.
+    /// Records that the store has named a term as the last one that has begun.
+    pub fn record_stored_term(&self, term: u32) {
+        let mut probed = self.probed.write().expect("no holder panics");
+        probed.latest_term = probed.latest_term.max(Some(term));
+        probed.has_stored_term = true;
+    }
+
+    /// Records that another entry says that a term has begun.
     pub fn record_term(&self, term: u32) {
         let mut probed = self.probed.write().expect("no holder panics");
         probed.latest_term = probed.latest_term.max(Some(term));
     }
 
-    /// Records whether this entry is beginning a term.
-    pub fn set_beginning_term(&self, is_beginning: bool) {
-        self.beginning_term.store(is_beginning, Ordering::SeqCst);
+    /// Records that this entry tries to begin a term.
+    pub fn record_attempted_term(&self, term: u32) {
+        *self.attempted_term.lock().expect("no holder panics") = Some(term);
     }
 
     /// Latest term that is known to have begun.
@@ -162,8 +173,7 @@
     /// What this entry knows of a term.
     #[must_use]
     pub fn judge_term(&self, term: u32) -> TermAnswer {
-        // This is read first: once it is reset, the view shows the term that has begun.
-        let is_beginning_term = self.beginning_term.load(Ordering::SeqCst);
+        let attempted_term = *self.attempted_term.lock().expect("no holder panics");
         let probed = self.probed();
         if probed.latest_term > Some(term) {
             return TermAnswer::Over;
@@ -175,9 +185,8 @@
                 None => TermAnswer::NotCurrent,
             };
         }
-        // The store may have applied the beginning of a later term already. An entry that has heard of no term may have
-        // begun one before it was started again.
-        if is_beginning_term || probed.latest_term.is_none() {
+        // A process to which the store has named no term may have begun one before it was started again.
+        if attempted_term > probed.latest_term || !probed.has_stored_term {
             return TermAnswer::Unknown;
         }
         TermAnswer::StoreLost
@@ -241,6 +250,18 @@
         self.stopping.store(true, Ordering::SeqCst);
     }
 
+    /// The other entries as candidates for a succession; `None` until their records were read.
+    #[must_use]
+    pub fn candidates(&self) -> Option<Vec<Candidate>> {
+        let members = self.others.lock().expect("no holder panics");
+        let candidate = |(m, _): &(Member, usize)| Candidate {
+            peers: m.peers,
+            strength: m.strength,
+            data_centre: m.data_centre.clone(),
+        };
+        members.as_ref().map(|members| members.iter().map(candidate).collect())
+    }
+
     /// Addresses of all other entries; `None` until their records were read.
     #[must_use]
     pub fn known_entries(&self) -> Option<Vec<SocketAddr>> {
@@ -416,6 +437,7 @@
             }
         }
         probed.latest_term = probed.latest_term.max(owner.as_ref().map(|o| o.term));
+        probed.has_stored_term |= owner.is_some();
         probed.owner = owner;
         probed.owner_revision = item.revision;
     }
--- a/crates/core/src/sched/candidacy.rs
+++ b/crates/core/src/sched/candidacy.rs
@@ -70,24 +70,24 @@
     Silent,
 }
 
-/// What the answers of all other entries mean for a term.
+/// What the answers of other entries mean for a term.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TermState {
     /// The term is over.
     Over,
-    /// No later term had begun this long before the entries were asked.
+    /// The store held the term this long before the entries were asked.
+    Proved(Millis),
+    /// No later term had begun this long before the entries were asked, by the answers of entries that have lost the store.
     Confirmed(Millis),
     /// A later term may have begun.
     Unconfirmed,
 }
 
 impl TermState {
-    /// Judges the answers of all other entries when the term was as old as `term_age`.
-    ///
-    /// Any entry that gave no answer may reach the store and have begun a later term, so without the store, only the
-    /// answers of all entries confirm a term.
+    /// Judges what entries that have just heard from the store, or of a later term, answer when the term was as old as
+    /// `term_age`. One of them is enough.
     #[must_use]
-    pub fn judge(answers: &[TermAnswer], term_age: Millis) -> Self {
+    pub fn judge_proofs(answers: &[TermAnswer], term_age: Millis) -> Self {
         let is_over = |answer: &TermAnswer| match answer {
             TermAnswer::Over => true,
             TermAnswer::NotCurrent => term_age >= MIN_DEPOSED_AGE,
@@ -97,11 +97,7 @@
             return Self::Over;
         }
         let proofs = answers.iter().filter_map(|a| if let TermAnswer::Current { age } = a { Some(*age) } else { None });
-        match proofs.min() {
-            Some(age) => Self::Confirmed(age),
-            None if answers.iter().all(|a| *a == TermAnswer::StoreLost) => Self::Confirmed(Millis(0)),
-            None => Self::Unconfirmed,
-        }
+        proofs.min().map_or(Self::Unconfirmed, Self::Proved)
     }
 }
 
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -18,6 +18,7 @@
 pub mod progress;
 pub mod recovery;
 pub mod scheduler;
+pub mod succession;
 pub mod worker;
 pub mod writes;
 
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -18,5 +18,6 @@
 mod relief;
 mod removed_queues;
 mod restarts;
+mod succession;
 mod takeover;
 mod unstored_ends;
