Wait after a takeover for silent workers of each pool that a queue had

A new scheduler starts a task of an earlier term only once the silent workers that may hold it have answered or lapsed. It looked at the pool of the job's queue at acceptance and at the present one. Three courses lead elsewhere: the queue moved twice; it moved once, and the earlier scheduler started the task under its earlier configuration; it moved and was then removed. The task then ran twice.

Before the fix job_waits_for_silent_workers_of_the_pool_between_two_moves, job_waits_for_silent_workers_of_the_pool_before_a_move_that_the_scheduler_missed and job_of_a_removed_queue_waits_for_silent_workers_of_its_last_pool failed with two runs of a task at once.

The pools of each queue are now stored with the recovery set, in a key of their own, so that entries of the earlier version can still read the set. A task starts in a pool only if the stored pools of its queue include it, so every pool with a run is known to the next scheduler. A pool is forgotten once its queue has no jobs.

The price: the first task of a new or moved queue waits for one write of the store, a takeover reads one more key, beside the recovery set, and while the store is lost a queue that has just moved starts nothing in its new pool. A scheduler of the earlier version stores no pools, and its successor waits as before.

--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -9,7 +9,7 @@
 use carawaybarrow_core::sched::graph::JobKey;
 use carawaybarrow_core::sched::order::FencingToken;
 use carawaybarrow_core::sched::progress::{JobRecord, Progress};
-use carawaybarrow_core::sched::recovery::PREVIOUS_TERM_OVERRUN;
+use carawaybarrow_core::sched::recovery::{PREVIOUS_TERM_OVERRUN, QueuePools};
 use carawaybarrow_core::sched::scheduler::Scheduler;
 use carawaybarrow_core::units::{Millis, MonoTime};
 use carawaybarrow_platform::configuration::{EVACUATION_PREFIX, evacuated_data_centre};
@@ -18,8 +18,8 @@
 
 use crate::node::peers::SchedulerClient;
 use crate::node::records::{
-    self, JOB_PREFIX, JobItem, LAST_SCHEDULER_KEY, Owner, PROGRESS_PREFIX, RECOVERY_SET_KEY, RELEASED_TERM_KEY,
-    SCHEDULER_KEY, TERM_COUNT_KEY,
+    self, JOB_PREFIX, JobItem, LAST_SCHEDULER_KEY, Owner, PROGRESS_PREFIX, QUEUE_POOLS_KEY, RECOVERY_SET_KEY,
+    RELEASED_TERM_KEY, SCHEDULER_KEY, TERM_COUNT_KEY,
 };
 use crate::node::term::Term;
 use crate::node::view::{self, View};
@@ -357,10 +357,16 @@
     let store = &term.view.store;
     // Progress is read before the jobs: only this term may write it now, and it writes none before the jobs are loaded.
     let (progress_items, _) = store.list(PROGRESS_PREFIX, term.list_timeout()).await?;
-    let recovery_set = match store.get(RECOVERY_SET_KEY, STORE_TIMEOUT).await? {
+    let (recovery_set, queue_pools) =
+        futures::try_join!(store.get(RECOVERY_SET_KEY, STORE_TIMEOUT), store.get(QUEUE_POOLS_KEY, STORE_TIMEOUT))?;
+    let recovery_set = match recovery_set {
         Some(Item { value: Some(value), .. }) => records::decode_recovery_set(&value)?,
         _ => Vec::new(),
     };
+    let queue_pools = match queue_pools {
+        Some(Item { value: Some(value), .. }) => records::decode::<QueuePools>(&value)?,
+        _ => QueuePools::default(),
+    };
     let (evacuations, evacuations_as_of) = store.list(EVACUATION_PREFIX, STORE_TIMEOUT).await?;
     let (jobs, as_of) = store.list(JOB_PREFIX, term.list_timeout()).await?;
     let mut progress: Map<JobKey, Progress> = Map::default();
@@ -405,6 +411,7 @@
         for job in &cancelled {
             s.cancel_job(job);
         }
+        s.apply_queue_pools(queue_pools);
         s.apply_recovery_set(now.mono, recovery_set);
     });
     term.set_loaded(as_of, evacuations_as_of);
--- a/crates/carawaybarrow/src/node/records.rs
+++ b/crates/carawaybarrow/src/node/records.rs
@@ -25,6 +25,9 @@
 /// Key of the recovery set: the workers that may hold runs of earlier terms.
 pub const RECOVERY_SET_KEY: &str = "scheduler/roster";
 
+/// Key of the pools of each queue in which earlier terms may have started its tasks.
+pub const QUEUE_POOLS_KEY: &str = "scheduler/queue-pools";
+
 /// Prefix of the keys of the [`Member`] records of entries.
 pub const ENTRY_PREFIX: &str = "entries/";
 
--- a/crates/carawaybarrow/src/node/store_watches.rs
+++ b/crates/carawaybarrow/src/node/store_watches.rs
@@ -13,7 +13,7 @@
 use carawaybarrow_platform::store::{Change, ChangeOutcome, Item, StoreError, StoreRevision, WatchOutcome};
 use carawaybarrow_platform::workers::{REPORT_PREFIX, parse_worker_report};
 
-use crate::node::records::{self, JOB_PREFIX, JobItem, RECOVERY_SET_KEY, SCHEDULER_KEY};
+use crate::node::records::{self, JOB_PREFIX, JobItem, QUEUE_POOLS_KEY, RECOVERY_SET_KEY, SCHEDULER_KEY};
 use crate::node::term::Term;
 use crate::node::view;
 use crate::node::worker_polls;
@@ -217,8 +217,8 @@
     }
 }
 
-/// Stores the recovery set when it is outdated, until the term ends. A run starts only on a worker of the stored set, so
-/// that the next scheduler knows of it.
+/// Stores the recovery set and the pools of queues when they are outdated, until the term ends. A run starts only on a
+/// worker of the stored set, and in a stored pool of its queue, so that the next scheduler knows of it.
 pub async fn store_recovery_sets(term: Arc<Term>) {
     let mut revision = None;
     loop {
@@ -226,7 +226,7 @@
         if term.is_ended() {
             return;
         }
-        if term.with(|s| s.is_recovery_set_outdated()) {
+        if term.with(|s| s.is_recovery_set_outdated() || s.lacks_queue_pools()) {
             store_recovery_set(&term, &mut revision).await;
             term.request_plan();
             task::sleep(RECOVERY_SET_PAUSE).await;
@@ -245,17 +245,23 @@
         };
     }
     let Some(expected) = *revision else { return };
-    let recovery_set = term.with(|s| s.prepare_recovery_set());
+    let (recovery_set, queue_pools) = term.with(|s| (s.prepare_recovery_set(), s.prepare_queue_pools()));
     let change = Change {
         expected: vec![(SCHEDULER_KEY.to_owned(), term.revision), (RECOVERY_SET_KEY.to_owned(), expected)],
-        puts: vec![(RECOVERY_SET_KEY.to_owned(), records::encode_recovery_set(&recovery_set), None)],
+        puts: vec![
+            (RECOVERY_SET_KEY.to_owned(), records::encode_recovery_set(&recovery_set), None),
+            (QUEUE_POOLS_KEY.to_owned(), records::encode(&queue_pools), None),
+        ],
         deletes: Vec::new(),
     };
     match term.view.store.change(&change, STORE_TIMEOUT).await {
         Ok(ChangeOutcome::Done(done)) => {
             *revision = Some(done);
             log::info!(workers = recovery_set.len(), revision = done.0; "recovery set stored");
-            term.with(|s| s.record_recovery_set(&recovery_set));
+            term.with(|s| {
+                s.record_recovery_set(&recovery_set);
+                s.record_queue_pools(&queue_pools);
+            });
         }
         Ok(ChangeOutcome::Conflict(_) | ChangeOutcome::NoLease) => *revision = None,
         Err(e) => {
--- a/crates/carawaybarrow/src/node/term.rs
+++ b/crates/carawaybarrow/src/node/term.rs
@@ -306,9 +306,9 @@
 
     /// Makes a plan, logs its events, sends its orders and wakes a writer if there are changes to store.
     fn plan(self: &Arc<Self>) {
-        let (orders, events, has_writes) = self.with(|s| {
+        let (orders, events, has_writes, lacks_queue_pools) = self.with(|s| {
             s.plan(view::now());
-            (s.take_orders(), s.take_events(), s.has_writes())
+            (s.take_orders(), s.take_events(), s.has_writes(), s.lacks_queue_pools())
         });
         for event in events {
             match &event {
@@ -327,6 +327,9 @@
         if has_writes {
             self.write_notify.notify();
         }
+        if lacks_queue_pools {
+            self.request_recovery_set();
+        }
     }
 
     /// Sends an order that was planned at a time, and applies its answer.
--- a/crates/core/benches/plan.rs
+++ b/crates/core/benches/plan.rs
@@ -76,6 +76,8 @@
     let reports: Vec<_> = (0..WORKERS).map(report).collect();
     scheduler.set_workers(now(0).mono, reports.clone());
     scheduler.record_recovery_set(&reports);
+    let queue_pools = scheduler.prepare_queue_pools();
+    scheduler.record_queue_pools(&queue_pools);
     for report in reports {
         let lists = RunLists { incarnation: Some(1), clock: 5_000, ..RunLists::default() };
         scheduler.apply_lists(now(0), &report.key, now(0).mono, lists);
--- a/crates/core/src/sched/orphans.rs
+++ b/crates/core/src/sched/orphans.rs
@@ -31,6 +31,11 @@
 }
 
 impl Orphans {
+    /// Whether all listed runs and ends are of known jobs.
+    pub(super) fn is_empty(&self) -> bool {
+        self.by_job.is_empty()
+    }
+
     /// Removes the orphaned runs of a worker, which has ended or has sent a new list. Its ends remain facts.
     pub(super) fn drop_runs_of(&mut self, worker: &WorkerKey) {
         self.by_job.retain(|_, orphan| {
--- a/crates/core/src/sched/plan.rs
+++ b/crates/core/src/sched/plan.rs
@@ -57,12 +57,18 @@
             return;
         }
         let mut by_pool: Map<PoolName, Candidates> = Map::default();
+        let mut waits_for_queue_pool = false;
         for (key, job) in &self.jobs {
             if job.state.is_final() || !self.is_job_reconciled(job) {
                 continue;
             }
+            if !self.is_queue_pool_stored(&job.spec.queue, self.pool_of(&job.spec)) {
+                waits_for_queue_pool = true;
+                continue;
+            }
             self.collect_candidates(now, key, job, &mut by_pool);
         }
+        self.waits_for_queue_pool = waits_for_queue_pool;
         for (pool, mut candidates) in by_pool {
             candidates.sort();
             let mut slots = self.collect_slots(now.mono, &pool);
--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -2,13 +2,17 @@
 //!
 //! A run starts only on a worker that the stored set names. A new scheduler reconciles its state with the workers of
 //! the stored set: it waits for their lists, or until the leases of earlier terms have lapsed.
+//!
+//! The pools in which tasks of a queue may run are stored too, as the configuration can send a queue to another pool while
+//! its tasks run.
 
 use crate::map::{Map, Set};
 use crate::sched::event::Event;
-use crate::sched::graph::{PoolName, VmKey, WorkerKey};
+use crate::sched::graph::{PoolName, QueueName, VmKey, WorkerKey};
 use crate::sched::job::Job;
 use crate::sched::maintenance::{Vm, VmState};
 use crate::sched::order::WorkerReport;
+use crate::sched::policy::QueuePolicy;
 use crate::sched::scheduler::{Scheduler, WORKER_LEASE};
 use crate::sched::worker::Worker;
 use crate::units::{Millis, MonoTime};
@@ -24,6 +28,9 @@
 /// the time it does.
 const ARRIVAL_GRACE: Millis = Millis(1_500);
 
+/// Pools of each queue in which its tasks may have runs.
+pub type QueuePools = Map<QueueName, Vec<PoolName>>;
+
 impl Scheduler {
     /// Applies the list of workers that have a report in the store.
     pub fn set_workers(&mut self, now: MonoTime, listed: Vec<WorkerReport>) {
@@ -160,13 +167,64 @@
     pub(super) fn is_job_reconciled(&self, job: &Job) -> bool {
         // The previous scheduler may have been notified of any job that was accepted before it stopped.
         let is_new = self.previous_stopped.is_some_and(|revision| job.created > revision);
-        is_new || (self.is_pool_reconciled(&job.spec.pool) && self.is_pool_reconciled(self.pool_of(&job.spec)))
+        let present = self.pool_of(&job.spec);
+        // The stored pools miss the other two only if earlier terms did not store any.
+        let may_have_runs = |pool: &PoolName| {
+            *pool == job.spec.pool || pool == present || self.is_queue_pool_stored(&job.spec.queue, pool)
+        };
+        let is_unknown = |key| self.workers.get(key).is_some_and(|w| may_have_runs(&w.report.pool));
+        is_new || self.is_reconciled || !self.unreconciled.iter().any(is_unknown)
     }
 
-    /// Whether the runs of earlier terms in a pool are known.
-    fn is_pool_reconciled(&self, pool: &PoolName) -> bool {
-        self.is_reconciled
-            || !self.unreconciled.iter().any(|key| self.workers.get(key).is_some_and(|w| w.report.pool == *pool))
+    /// Applies the stored pools of queues in which earlier terms may have started tasks.
+    pub fn apply_queue_pools(&mut self, stored: QueuePools) {
+        self.queue_pools = stored;
+    }
+
+    /// Whether the stored pools of a queue include a pool. Only then may its tasks start there, so that the next scheduler
+    /// waits for the workers of that pool.
+    pub(super) fn is_queue_pool_stored(&self, queue: &QueueName, pool: &PoolName) -> bool {
+        self.queue_pools.get(queue).is_some_and(|pools| pools.contains(pool))
+    }
+
+    /// Whether the pools of queues must be stored again, because they lack one in which tasks have to start.
+    #[must_use]
+    pub fn lacks_queue_pools(&self) -> bool {
+        let is_missing = |(queue, rules): (&QueueName, &QueuePolicy)| !self.is_queue_pool_stored(queue, &rules.pool);
+        self.waits_for_queue_pool || self.policy.queues.iter().any(is_missing)
+    }
+
+    /// Pools of queues to store. No tasks start from now on in the pools that are left out, as the stored ones may no longer
+    /// include them.
+    pub fn prepare_queue_pools(&mut self) -> QueuePools {
+        let mut needed = QueuePools::default();
+        let mut add = |queue: &QueueName, pool: &PoolName| {
+            let pools = needed.entry(queue.clone()).or_default();
+            if !pools.contains(pool) {
+                pools.push(pool.clone());
+            }
+        };
+        self.policy.queues.iter().for_each(|(queue, rules)| add(queue, &rules.pool));
+        self.jobs.values().for_each(|job| add(&job.spec.queue, self.pool_of(&job.spec)));
+        let with_jobs: Set<&QueueName> = self.jobs.values().map(|job| &job.spec.queue).collect();
+        let has_unknown_jobs = !self.is_reconciled || !self.orphans.is_empty();
+        for (queue, pools) in &self.queue_pools {
+            // Jobs that have not ended may have runs in each pool that their queue had.
+            if has_unknown_jobs || with_jobs.contains(queue) {
+                pools.iter().for_each(|pool| add(queue, pool));
+            }
+        }
+        self.queue_pools.retain(|queue, pools| {
+            pools.retain(|pool| needed.get(queue).is_some_and(|kept| kept.contains(pool)));
+            !pools.is_empty()
+        });
+        needed
+    }
+
+    /// Records that the store holds these pools of queues.
+    pub fn record_queue_pools(&mut self, stored: &QueuePools) {
+        self.queue_pools.clone_from(stored);
+        self.waits_for_queue_pool = false;
     }
 
     /// Whether the stored recovery set must be written again: it lacks a worker that can get tasks, or names some
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -14,6 +14,7 @@
 use crate::sched::orphans::Orphans;
 use crate::sched::policy::{Bounds, Policy, QueuePolicy};
 use crate::sched::progress::{JobState, Progress};
+use crate::sched::recovery::QueuePools;
 use crate::sched::share::TokenBucket;
 use crate::sched::worker::{MAX_IDLE_WAIT, MAX_WAIT, Worker};
 use crate::sched::writes::WriteQueue;
@@ -94,6 +95,10 @@
     pub(super) is_reconciled: bool,
     /// Whether the workers have been listed in this term.
     pub(super) has_worker_list: bool,
+    /// Stored pools of each queue, in which its tasks may start.
+    pub(super) queue_pools: QueuePools,
+    /// Whether a task waits because the stored pools of its queue lack the present one.
+    pub(super) waits_for_queue_pool: bool,
     /// Number of workers in the stored recovery set.
     pub(super) recovery_set_size: usize,
     /// Time of the last lists or plan.
@@ -132,6 +137,8 @@
             previous_stopped: None,
             is_reconciled: false,
             has_worker_list: false,
+            queue_pools: QueuePools::default(),
+            waits_for_queue_pool: false,
             recovery_set_size: 0,
             last_mono: MonoTime(0),
             last_wall: WallTime(0),
--- a/crates/core/tests/sched/ends_model.rs
+++ b/crates/core/tests/sched/ends_model.rs
@@ -10,7 +10,7 @@
 };
 use carawaybarrow_core::sched::policy::{Bounds, Policy};
 use carawaybarrow_core::sched::progress::{JobRecord, JobState, Progress};
-use carawaybarrow_core::sched::recovery::PREVIOUS_TERM_OVERRUN;
+use carawaybarrow_core::sched::recovery::{PREVIOUS_TERM_OVERRUN, QueuePools};
 use carawaybarrow_core::sched::scheduler::{Now, Scheduler};
 use carawaybarrow_core::sched::writes::JobWrite;
 use carawaybarrow_core::units::{MonoTime, WallTime};
@@ -76,6 +76,7 @@
     pub cancelled: BTreeSet<JobKey>,
     progress: StoredProgress,
     recovery_set: (Vec<WorkerReport>, u64),
+    queue_pools: QueuePools,
     owner: u64,
     revision: u64,
     pub is_down: bool,
@@ -200,17 +201,21 @@
             };
             (report.key, worker)
         };
+        let policy = policy();
+        let queue_pools =
+            policy.queues.iter().map(|(queue, rules)| (queue.clone(), vec![rules.pool.clone()])).collect();
         let mut model = Self {
             rng,
             faults,
             workers: (0..workers).map(new_worker).collect(),
             unlisted: BTreeSet::new(),
-            store: Store { revision: 1, ..Store::default() },
+            // An earlier term has stored the pools, which no simulation changes.
+            store: Store { revision: 1, queue_pools, ..Store::default() },
             terms: Vec::new(),
             now: START_MS,
             work_ms: 400,
             term_count: 0,
-            policy: Arc::new(policy()),
+            policy: Arc::new(policy),
             late: Vec::new(),
             done: BTreeMap::new(),
             started: BTreeMap::new(),
@@ -294,6 +299,7 @@
         }
         term.revisions = progress.into_iter().map(|(key, (_, revision))| (key, revision)).collect();
         self.store.cancelled.iter().for_each(|key| term.scheduler.cancel_job(key));
+        term.scheduler.apply_queue_pools(self.store.queue_pools.clone());
         term.scheduler.apply_recovery_set(now.mono, self.store.recovery_set.0.clone());
     }
 
@@ -485,10 +491,12 @@
     }
 
     fn store_recovery_set(&mut self, term: &mut ModelTerm) {
-        if self.is_store_lost(term.is_cut_from_store) || !term.scheduler.is_recovery_set_outdated() {
+        let is_outdated = term.scheduler.is_recovery_set_outdated() || term.scheduler.lacks_queue_pools();
+        if self.is_store_lost(term.is_cut_from_store) || !is_outdated {
             return;
         }
         let expected = *term.recovery_revision.get_or_insert(self.store.recovery_set.1);
+        let queue_pools = term.scheduler.prepare_queue_pools();
         let mut recovery_set = term.scheduler.prepare_recovery_set();
         if self.names_all_workers {
             recovery_set = self.workers.values().map(|w| w.report.clone()).collect();
@@ -498,12 +506,14 @@
         if is_allowed && matches!(fate, Fate::Answered | Fate::Unanswered) {
             self.store.revision += 1;
             self.store.recovery_set = (recovery_set.clone(), self.store.revision);
+            self.store.queue_pools.clone_from(&queue_pools);
             let names: Vec<String> = recovery_set.iter().map(|r| r.key.to_string()).collect();
             self.log(format!("term {} stores the recovery set {names:?}", term.token));
         }
         if is_allowed && fate == Fate::Answered {
             term.recovery_revision = Some(self.store.revision);
             term.scheduler.record_recovery_set(&recovery_set);
+            term.scheduler.record_queue_pools(&queue_pools);
         } else {
             term.recovery_revision = None;
         }
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -11,6 +11,7 @@
 mod lifecycle;
 mod model;
 mod model_worker;
+mod moved_queues;
 mod odd_entries;
 mod overlap;
 mod peaks;
--- a/crates/core/tests/sched/model.rs
+++ b/crates/core/tests/sched/model.rs
@@ -10,7 +10,7 @@
 use carawaybarrow_core::sched::order::{EndKind, FencingToken, Order, StartAnswer, WorkerReport};
 use carawaybarrow_core::sched::policy::{Bounds, Policy, QueuePolicy, TeamPolicy};
 use carawaybarrow_core::sched::progress::{JobRecord, JobState, Progress};
-use carawaybarrow_core::sched::recovery::PREVIOUS_TERM_OVERRUN;
+use carawaybarrow_core::sched::recovery::{PREVIOUS_TERM_OVERRUN, QueuePools};
 use carawaybarrow_core::sched::scheduler::{Now, Scheduler};
 use carawaybarrow_core::sched::writes::JobWrite;
 use carawaybarrow_core::units::{Millis, MonoTime, WallTime};
@@ -29,6 +29,7 @@
     pub jobs: BTreeMap<JobKey, (JobRecord, u64)>,
     pub cancelled: Vec<JobKey>,
     pub progress: BTreeMap<JobKey, Progress>,
+    pub queue_pools: QueuePools,
     pub revision: u64,
     pub is_down: bool,
 }
@@ -176,6 +177,13 @@
         let reports: Vec<_> = self.workers.values().map(|w| w.report.clone()).collect();
         self.scheduler.set_workers(MonoTime(self.now), reports.clone());
         self.scheduler.record_recovery_set(&reports);
+        self.store_queue_pools();
+    }
+
+    /// Stores the pools of queues.
+    fn store_queue_pools(&mut self) {
+        self.store.queue_pools = self.scheduler.prepare_queue_pools();
+        self.scheduler.record_queue_pools(&self.store.queue_pools);
     }
 
     /// Accepts a job, of which the scheduler is notified at once.
@@ -252,6 +260,7 @@
             self.scheduler.cancel_job(&key);
         }
         let reports: Vec<_> = self.workers.values().map(|w| w.report.clone()).collect();
+        self.scheduler.apply_queue_pools(self.store.queue_pools.clone());
         self.previous_stopped_by = self.now + PREVIOUS_TERM_OVERRUN.0;
         self.scheduler.confirm(MonoTime(self.now));
         self.scheduler.apply_recovery_set(MonoTime(self.now), reports);
@@ -340,6 +349,9 @@
 
     /// Executes the scheduler's writes to the store.
     pub fn store_writes(&mut self) {
+        if !self.store.is_down && self.scheduler.lacks_queue_pools() {
+            self.store_queue_pools();
+        }
         let writes = self.scheduler.take_writes(self.time(), 8, |_| 1);
         for (key, version, write) in writes {
             if self.store.is_down {
