Count silent workers of the recovery set towards the ceilings of teams

A new scheduler does not know the runs of workers that have not answered, whose leases go on for up to 7.6 s. It counted only the runs that it knows towards the ceiling of a team.

Before the fix runs_on_silent_workers_count_towards_the_ceiling_of_a_team and runs_on_silent_workers_of_another_pool_count_towards_the_ceiling_of_a_team failed with 16 tasks at once where 8 are allowed.

The free resources of each worker of the recovery set that has not answered, and of each that lists runs of unknown jobs, now count towards the ceiling of every team. That is the most that unknown runs of one team can use.

The price: after a takeover with silent workers, a team starts tasks only as far as its ceiling has room for all that these workers hold, until they answer or their leases have lapsed. Teams without a ceiling, and takeovers in which all workers answer, are as before.

--- a/crates/core/src/sched/plan.rs
+++ b/crates/core/src/sched/plan.rs
@@ -69,6 +69,7 @@
             self.collect_candidates(now, key, job, &mut by_pool);
         }
         self.waits_for_queue_pool = waits_for_queue_pool;
+        self.unknown_usage = self.unknown_usage();
         for (pool, mut candidates) in by_pool {
             candidates.sort();
             let mut slots = self.collect_slots(now.mono, &pool);
@@ -336,7 +337,8 @@
     fn fits_team_ceiling_for(&self, key: &JobKey, spec: &Step, count: u64) -> bool {
         let Some(team) = self.jobs.get(key).and_then(|j| j.spec.team.as_ref()) else { return true };
         let Some(policy) = self.policy.teams.get(team) else { return true };
-        let used = self.team_usage.get(team).copied().unwrap_or_default();
+        let mut used = self.team_usage.get(team).copied().unwrap_or_default();
+        used += self.unknown_usage;
         let size = spec.reserved();
         let is_below = |used: u64, size: u64, ceiling: u64| ceiling == 0 || used + size * count <= ceiling;
         let ceiling = &policy.ceiling;
--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -8,7 +8,7 @@
 
 use crate::map::{Map, Set};
 use crate::sched::event::Event;
-use crate::sched::graph::{PoolName, QueueName, VmKey, WorkerKey};
+use crate::sched::graph::{PoolName, QueueName, Resources, VmKey, WorkerKey};
 use crate::sched::job::Job;
 use crate::sched::maintenance::{Vm, VmState};
 use crate::sched::order::WorkerReport;
@@ -176,6 +176,15 @@
         is_new || self.is_reconciled || !self.unreconciled.iter().any(is_unknown)
     }
 
+    /// Most that runs of earlier terms may use that are not known: the free resources of workers that have not answered or
+    /// list runs of unknown jobs.
+    pub(super) fn unknown_usage(&self) -> Resources {
+        let mut usage = Resources::default();
+        let may_have_more = |w: &&Worker| w.has_orphans || self.unreconciled.contains(&w.report.key);
+        self.workers.values().filter(may_have_more).for_each(|w| usage += w.free());
+        usage
+    }
+
     /// Applies the stored pools of queues in which earlier terms may have started tasks.
     pub fn apply_queue_pools(&mut self, stored: QueuePools) {
         self.queue_pools = stored;
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -78,6 +78,8 @@
     polled: Set<WorkerKey>,
     /// Resources of the runs of each team.
     pub(super) team_usage: Map<TeamName, Resources>,
+    /// Most that runs of earlier terms may use that are not known, which may be of any team.
+    pub(super) unknown_usage: Resources,
     team_buckets: Map<TeamName, TokenBucket>,
     pub(super) orders: Vec<Order>,
     pub(super) events: Vec<Event>,
@@ -126,6 +128,7 @@
             workers: Map::default(),
             polled: Set::default(),
             team_usage: Map::default(),
+            unknown_usage: Resources::default(),
             team_buckets: Map::default(),
             orders: Vec::new(),
             events: Vec::new(),
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -20,4 +20,5 @@
 mod removed_queues;
 mod restarts;
 mod takeover;
+mod team_ceilings;
 mod unstored_ends;
