Believe no list of VMs from before a worker's start because connections are refused

Cause: took a refused connection for a second sign that a worker has ended, and skipped the lag of the list of VMs then. A cut of the network may refuse connections too. A list that was behind then ended a worker that had just started and ran on, and its tasks started elsewhere.

Change: the lag is skipped only if the worker refuses connections and its report says that it started 7 s or more before the request (2 s of lag, 5 s for wall clocks that jump), so that the list can't show its VM as it was before. A list that shows a VM as down never skips the lag, as its worker may start again under its id while the recovery set holds its earlier report.

Price: after a takeover, pools wait up to 2 s for workers whose VMs are down, and for workers younger than 7 s whose VMs have moved.

--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -11,7 +11,7 @@
 use crate::sched::order::WorkerReport;
 use crate::sched::scheduler::{Scheduler, WORKER_LEASE};
 use crate::sched::worker::Worker;
-use crate::units::{Millis, MonoTime};
+use crate::units::{Millis, MonoTime, WallTime};
 
 /// Time from the beginning of a term after which earlier schedulers start no tasks and extend no leases. What confirms a
 /// term excludes that a later one had begun, so their terms were last confirmed before it.
@@ -20,6 +20,10 @@
 /// Time after a worker became known in which a list of VMs may not show it yet, as the list lags.
 const VM_LIST_LAG: Millis = Millis(2_000);
 
+/// Error of a worker's start time, as the wall clock of an entry may jump by seconds. The platform allows 5 s for such
+/// jumps where it checks the times of jobs.
+const WALL_CLOCK_ERROR: Millis = Millis(5_000);
+
 /// Time for which a worker that arrives belongs to the recovery set before it has answered, so that the set is stored by
 /// the time it does.
 const ARRIVAL_GRACE: Millis = Millis(1_500);
@@ -66,24 +70,29 @@
     /// not listed.
     ///
     /// `requested` is the time at which the list was requested. The list says nothing about workers that have answered
-    /// since.
+    /// since. As it lags, it may also show a VM as it was before its worker started.
     pub fn apply_vm_list(&mut self, requested: MonoTime, now: MonoTime, vms: &[Vm]) {
         let by_key: Map<&VmKey, &Vm> = vms.iter().map(|vm| (&vm.key, vm)).collect();
         let is_gone = |worker: &&Worker| {
             let Some(key) = &worker.report.vm else { return false };
-            // The list lags and may not show a worker that has just started. One that has started listens at its address.
-            let is_old = worker.known_since + VM_LIST_LAG < requested || worker.refuses_connections;
+            let is_known_long = worker.known_since + VM_LIST_LAG < requested;
+            let is_old = is_known_long || (worker.refuses_connections && self.has_run_long(worker, requested, now));
             let is_silent = !worker.is_listed() || !worker.is_reachable(now);
             let has_ended = match by_key.get(key) {
                 Some(vm) => {
                     let has_other = vm.worker.as_ref().is_some_and(|w| *w != worker.report.key);
                     let has_moved = vm.pool != worker.report.pool;
                     let is_away = matches!(vm.state, VmState::Moving | VmState::Maintenance);
-                    vm.state == VmState::Down || (is_silent && (has_other || has_moved || is_away))
+                    // A worker whose VM is down may start again under its id, unlike the others. Its report may then be
+                    // that of its earlier incarnation.
+                    match vm.state {
+                        VmState::Down => is_known_long,
+                        _ => is_old && is_silent && (has_other || has_moved || is_away),
+                    }
                 }
-                None => is_silent && !vms.is_empty(),
+                None => is_old && is_silent && !vms.is_empty(),
             };
-            is_old && has_ended && !worker.is_outdated(requested)
+            has_ended && !worker.is_outdated(requested)
         };
         let gone: Vec<WorkerKey> =
             self.workers.values().filter(|w| !w.is_gone).filter(is_gone).map(|w| w.report.key.clone()).collect();
@@ -97,6 +106,14 @@
         }
     }
 
+    /// Whether a worker had started so long before a list of VMs was requested that the list can't show the time before,
+    /// by the start time in its report. The last reading of the wall clock serves as the present time.
+    fn has_run_long(&self, worker: &Worker, requested: MonoTime, now: MonoTime) -> bool {
+        let Some(started) = worker.report.incarnation else { return false };
+        let age = self.last_wall.since(WallTime(started));
+        age > VM_LIST_LAG + WALL_CLOCK_ERROR + now.since(requested)
+    }
+
     /// Adds the workers on which earlier terms may have started runs, and waits for their lists.
     pub fn apply_recovery_set(&mut self, now: MonoTime, recovery_set: Vec<WorkerReport>) {
         self.recovery_set_size = recovery_set.len();
--- a/crates/core/tests/sched/takeover.rs
+++ b/crates/core/tests/sched/takeover.rs
@@ -125,6 +125,71 @@
     }
 }
 
+/// Lets a worker refuse connections at a cut of the network that only the new scheduler has, while its task goes on, and
+/// lets each list of VMs show a state of its VM for 1 s. The worker has started `age_ms` before the takeover. Checks that
+/// the task does not start elsewhere.
+fn check_refusing_cut(age_ms: u64, listed: Option<(VmState, &str, Option<&str>)>) {
+    let mut model = Model::new(2);
+    model.work_ms = 20_000;
+    model.run_for(10_000);
+    for worker in model.workers.values_mut() {
+        worker.incarnation = model.now;
+        worker.report.incarnation = Some(model.now);
+    }
+    model.register_workers();
+    model.accept("j", job(vec![step(1, 1_000)]));
+    model.run_for(age_ms);
+    let holder = usize::from(model.worker_mut(0).runs.is_empty());
+    model.replace_scheduler();
+    let report = super::model::report(holder);
+    let mut vms = model.list_vms();
+    match listed {
+        Some((state, pool, worker)) => {
+            let vm = &mut vms[holder];
+            vm.state = state;
+            vm.pool = carawaybarrow_core::sched::graph::PoolName::new(pool);
+            vm.worker = worker.map(WorkerKey::new);
+        }
+        None => {
+            vms.remove(holder);
+        }
+    }
+    for _ in 0..20 {
+        model.poll(&super::model::report(1 - holder).key);
+        model.scheduler.record_lost_poll(&report.key, true);
+        let now = MonoTime(model.now);
+        model.scheduler.apply_vm_list(now, now, &vms);
+        model.run_scheduler();
+        model.check_invariants();
+        model.advance_time();
+    }
+    assert!(!model.scheduler.is_reconciled(), "{listed:?}");
+    assert_eq!(model.count_running(), 1, "{listed:?}");
+}
+
+/// Guards against a task that runs twice because a list of VMs from before its worker started ends the run. A cut of the
+/// network may refuse connections, so a refusal doesn't show that nothing runs there.
+#[test]
+fn list_from_before_a_worker_started_ends_no_runs_behind_a_refusing_cut() {
+    for listed in [
+        Some((VmState::Moving, "p", None)),
+        Some((VmState::Maintenance, "p", None)),
+        Some((VmState::Down, "p", None)),
+        Some((VmState::Up, "spare", None)),
+        Some((VmState::Up, "p", Some("earlier"))),
+        None,
+    ] {
+        check_refusing_cut(500, listed);
+    }
+}
+
+/// Guards against the same for a worker that has started again under its id, of which the recovery set still holds the
+/// earlier report: its VM was down before.
+#[test]
+fn list_from_before_a_restart_ends_no_runs_behind_a_refusing_cut() {
+    check_refusing_cut(15_000, Some((VmState::Down, "p", None)));
+}
+
 /// Guards against a task that runs twice because the previous scheduler starts it as well. It is notified of a job that
 /// is accepted just after the takeover too, and a worker that the new scheduler has not polled yet accepts its order.
 /// Seen in the recorded run trouble-3.
