Choose successors across data centres, and trust restarted entries later

Strength now counts only where it is clear, and an entry confirms terms once the store has named a scheduler to its process. Both found by reading; the first is tested.

--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -238,7 +238,7 @@
     // A scheduler that recorded its release, or an earlier incarnation of this entry, gives no more VM orders.
     let may_order_vms_at_once = count == 0 || is_own_stale_key || released == Some(count - 1);
     if let Some(last) = count.checked_sub(1) {
-        view.record_stored_term(last);
+        view.record_term(last);
         // The last scheduler acts no more if it has recorded its release, or if it was this entry. It was of a version
         // without succession if it stored none; the other entries then had to confirm its term.
         let has_stopped = released == Some(last)
--- a/crates/carawaybarrow/src/node/view.rs
+++ b/crates/carawaybarrow/src/node/view.rs
@@ -53,8 +53,8 @@
     owner_revision: StoreRevision,
     /// Latest term that is known to have begun. It is kept when the term ends and when the store is lost.
     latest_term: Option<u32>,
-    /// Whether the store has named a term to this process.
-    has_stored_term: bool,
+    /// Whether the store has named a scheduler to this process.
+    has_named_scheduler: bool,
     /// Time at which the latest successful probe was sent.
     proved_at: Option<MonoTime>,
     is_store_lost: bool,
@@ -135,14 +135,7 @@
         self.probed().owner.clone()
     }
 
-    /// Records that the store has named a term as the last one that has begun.
-    pub fn record_stored_term(&self, term: u32) {
-        let mut probed = self.probed.write().expect("no holder panics");
-        probed.latest_term = probed.latest_term.max(Some(term));
-        probed.has_stored_term = true;
-    }
-
-    /// Records that another entry says that a term has begun.
+    /// Records that a term has begun.
     pub fn record_term(&self, term: u32) {
         let mut probed = self.probed.write().expect("no holder panics");
         probed.latest_term = probed.latest_term.max(Some(term));
@@ -185,8 +178,9 @@
                 None => TermAnswer::NotCurrent,
             };
         }
-        // A process to which the store has named no term may have begun one before it was started again.
-        if attempted_term > probed.latest_term || !probed.has_stored_term {
+        // Before it was started again, the process may have begun a term, or tried to, unless the store has named a scheduler
+        // since: the store applies an earlier attempt only while there is none.
+        if attempted_term > probed.latest_term || !probed.has_named_scheduler {
             return TermAnswer::Unknown;
         }
         TermAnswer::StoreLost
@@ -437,7 +431,7 @@
             }
         }
         probed.latest_term = probed.latest_term.max(owner.as_ref().map(|o| o.term));
-        probed.has_stored_term |= owner.is_some();
+        probed.has_named_scheduler |= owner.is_some();
         probed.owner = owner;
         probed.owner_revision = item.revision;
     }
--- a/crates/core/src/sched/succession.rs
+++ b/crates/core/src/sched/succession.rs
@@ -5,6 +5,7 @@
 //! other entry waits, once there is no scheduler. The store knew the scheduler when it last answered it, so the wait began
 //! later, and until it can have ended, the successors alone confirm the term.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -50,28 +51,30 @@
 }
 
 impl Succession {
-    /// Chooses the successors of a scheduler: the strongest entries, spread over the data centres. `is_fit` says whether
-    /// an entry is expected to answer; the others are chosen only if there are too few.
+    /// Chooses the successors of a scheduler: entries that are not clearly weaker than another one, spread over the data
+    /// centres. `is_fit` says whether an entry is expected to answer; the others are chosen only if there are too few.
     ///
     /// An entry of a version without succession does not wait, so all of them become successors.
     #[must_use]
     pub fn choose(term: u32, candidates: &[Candidate], is_fit: impl Fn(&SocketAddr) -> bool) -> Self {
-        let mut in_data_centre: Map<&SmolStr, usize> = Map::default();
+        let strongest = candidates.iter().map(|c| c.strength).max_by_key(|s| (s.cpu, s.link_kbps)).unwrap_or_default();
         let mut ranked: Vec<_> = candidates
             .iter()
-            .filter_map(|c| Some((c.data_centre.as_ref()?, c)))
-            .map(|(data_centre, c)| {
-                (!is_fit(&c.peers), std::cmp::Reverse((c.strength.cpu, c.strength.link_kbps)), c, data_centre)
+            .filter_map(|c| {
+                let data_centre = c.data_centre.as_ref()?;
+                let rank = (!is_fit(&c.peers), strongest.is_clearly_stronger_than(&c.strength));
+                Some((rank, Reverse((c.strength.cpu, c.strength.link_kbps)), c.peers, data_centre))
             })
             .collect();
-        ranked.sort_by_key(|(is_unfit, strength, c, _)| (*is_unfit, *strength, c.peers));
-        // The second entry of a data centre comes after the first entries of the others of its strength.
+        ranked.sort_unstable();
+        // The second entry of a data centre comes after the first entries of the others of its rank.
+        let mut in_data_centre: Map<&SmolStr, usize> = Map::default();
         let mut spread: Vec<_> = ranked
             .into_iter()
-            .map(|(is_unfit, strength, c, data_centre)| {
+            .map(|(rank, strength, peers, data_centre)| {
                 let before = in_data_centre.entry(data_centre).or_default();
                 *before += 1;
-                (is_unfit, strength, *before, c.peers)
+                (rank, *before, strength, peers)
             })
             .collect();
         spread.sort_unstable();
--- a/crates/core/tests/sched/succession.rs
+++ b/crates/core/tests/sched/succession.rs
@@ -130,13 +130,14 @@
 #[test]
 fn successors_are_strong_spread_and_expected_to_answer() {
     let strong = Strength { cpu: 500, link_kbps: 1_000 };
+    let stronger = Strength { cpu: 510, link_kbps: 1_000 };
     let weak = Strength { cpu: 120, link_kbps: 1_000 };
     let candidate = |number: u16, strength, data_centre: Option<&str>| Candidate {
         peers: entry(number),
         strength,
         data_centre: data_centre.map(Into::into),
     };
-    let mut candidates: Vec<Candidate> = (1..=4).map(|number| candidate(number, strong, Some("a"))).collect();
+    let mut candidates: Vec<Candidate> = (1..=4).map(|number| candidate(number, stronger, Some("a"))).collect();
     candidates.extend((5..=6).map(|number| candidate(number, strong, Some("b"))));
     candidates.extend((7..=8).map(|number| candidate(number, strong, Some("c"))));
     candidates.extend((9..=20).map(|number| candidate(number, weak, Some("d"))));
