--- a/crates/core/tests/sched/restarts.rs
+++ b/crates/core/tests/sched/restarts.rs
@@ -220,6 +220,17 @@
     assert_eq!(model.state("k"), Some(JobState::Completed));
 }
 
+/// Guards against the same for a start between the loss of the poll and the next answer, which shows the restart.
+#[test]
+fn worker_that_may_have_restarted_gets_no_tasks_while_a_late_poll_may_discard_their_ends() {
+    let mut model = Model::new(1);
+    run_until_an_end_is_stored(&mut model);
+    restart_during_a_poll(&mut model);
+    model.accept("k", job(vec![step(1, 1_000)]));
+    model.run_scheduler();
+    assert_eq!(model.count_running(), 0, "a late poll may discard the end");
+}
+
 /// Guards against a repeated start that a restarted worker executes, although a late poll may discard its end. The first
 /// start did not arrive.
 #[test]
