--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -12,7 +12,7 @@
 use carawaybarrow_core::sched::progress::{JobRecord, Progress};
 use carawaybarrow_core::sched::recovery::{PREVIOUS_TERM_OVERRUN, QueuePools};
 use carawaybarrow_core::sched::scheduler::Scheduler;
-use carawaybarrow_core::sched::succession::{Succession, Vacancy};
+use carawaybarrow_core::sched::succession::{Succession, UNLISTED_DELAY, Vacancy};
 use carawaybarrow_core::units::{Millis, MonoTime};
 use carawaybarrow_platform::configuration::{EVACUATION_PREFIX, evacuated_data_centre};
 use carawaybarrow_platform::store::{Change, ChangeOutcome, Item, LeaseId, StoreError, StoreRevision};
@@ -74,7 +74,8 @@
 pub async fn run(view: Arc<View>, scheduler: Arc<SchedulerClient>, incarnation: u64) {
     let mut vacant_since = None;
     let mut vacancy = Vacancy::default();
-    let mut wait_until = MonoTime(0);
+    // Latest known term when an attempt said how long this entry waits after it, and the end of the wait.
+    let mut wait: Option<(Option<u32>, MonoTime)> = None;
     // Term of a weaker scheduler, and the time at which it was first observed.
     let mut weaker_since: Option<(u32, MonoTime)> = None;
     loop {
@@ -89,17 +90,17 @@
         let is_vacant = owner.as_ref().is_none_or(|o| o.entry == view.settings.entry && o.incarnation != incarnation);
         if has_answer && is_vacant && view.configuration().is_some() && view.term().is_none() {
             let since = *vacant_since.get_or_insert(now);
-            if view.takeover_delay().is_some_and(|delay| now.since(since) >= delay) && now >= wait_until {
+            let is_waiting = wait.is_some_and(|(term, until)| view.latest_term() == term && now < until);
+            if view.takeover_delay().is_some_and(|delay| now.since(since) >= delay) && !is_waiting {
                 match try_begin_term(&view, incarnation, &mut vacancy).await {
                     Ok(Attempt::Begun(term, earlier)) => run_term(*term, Arc::clone(&scheduler), earlier),
-                    Ok(Attempt::Waiting(remaining)) => wait_until = view::now().mono + remaining,
+                    Ok(Attempt::Waiting(remaining)) => wait = Some((view.latest_term(), view::now().mono + remaining)),
                     Ok(Attempt::Conflict) => {}
                     Err(e) => log::warn!(error:% = e; "can't begin a term"),
                 }
             }
         } else {
             vacant_since = None;
-            wait_until = MonoTime(0);
         }
         let weaker = owner.filter(|o| has_answer && view.settings.strength.is_clearly_stronger_than(&o.strength));
         weaker_since =
@@ -232,7 +233,7 @@
         _ => None,
     };
     let (succession, succession_revision) = match succession {
-        Some(Item { value: Some(value), revision, .. }) => (Some(records::decode::<Succession>(&value)?), revision),
+        Some(Item { value: Some(value), revision, .. }) => (Some(records::decode::<Succession>(&value)), revision),
         _ => (None, StoreRevision::ABSENT),
     };
     // A scheduler that recorded its release, or an earlier incarnation of this entry, gives no more VM orders.
@@ -243,9 +244,15 @@
         // without succession if it stored none; the other entries then had to confirm its term.
         let has_stopped = released == Some(last)
             || earlier.as_ref().is_some_and(|o| o.term == last && o.entry == view.settings.entry);
-        let delay = succession
-            .filter(|s| s.term == last && !has_stopped)
-            .map_or(Millis(0), |s| s.delay_of(&view.settings.peers));
+        let delay = match succession {
+            _ if has_stopped => Millis(0),
+            Some(Ok(s)) if s.term == last => s.delay_of(&view.settings.peers),
+            Some(Ok(_)) | None => Millis(0),
+            Some(Err(e)) => {
+                log::error!(error:% = e; "the succession can't be read; this entry counts as not listed");
+                UNLISTED_DELAY
+            }
+        };
         let remaining = vacancy.remaining(count, delay, view::now().mono);
         if remaining > Millis(0) {
             log::info!(term = last, remaining_ms = remaining.0; "there is no scheduler; its successors come first");
--- a/crates/carawaybarrow/src/node/peers.rs
+++ b/crates/carawaybarrow/src/node/peers.rs
@@ -179,15 +179,23 @@
     pub async fn ask_about_term(&self, term: &Term) -> TermState {
         let succession = term.succession();
         let (age, stored_age) = (term.age(), term.stored_age());
+        let asked = Instant::now();
         let mut answers = self.ask_entries(term, &succession.successors()).await;
-        let state = succession.judge(&answers, age, stored_age);
-        if !matches!(state, TermState::Unconfirmed | TermState::Confirmed(Millis(1..))) {
-            return state;
+        let mut state = succession.judge(&answers, age, stored_age);
+        if matches!(state, TermState::Unconfirmed | TermState::Confirmed(Millis(1..))) {
+            let others: Vec<SocketAddr> =
+                succession.entries().into_iter().filter(|entry| !answers.contains_key(entry)).collect();
+            answers.extend(self.ask_entries(term, &others).await);
+            state = succession.judge(&answers, age, stored_age);
         }
-        let others: Vec<SocketAddr> =
-            succession.entries().into_iter().filter(|entry| !answers.contains_key(entry)).collect();
-        answers.extend(self.ask_entries(term, &others).await);
-        succession.judge(&answers, age, stored_age)
+        let count = |answer| answers.values().filter(|a| **a == answer).count();
+        log::info!(
+            term = term.owner.term, entries = answers.len(), store_lost = count(TermAnswer::StoreLost),
+            silent = count(TermAnswer::Silent), unknown = count(TermAnswer::Unknown), state:? = state,
+            took:? = asked.elapsed();
+            "other entries asked about the term"
+        );
+        state
     }
 
     /// Asks entries about a term, and returns their answers.
@@ -203,16 +211,7 @@
             };
             (*peer, answer)
         };
-        let asked = Instant::now();
-        let answers: Map<SocketAddr, TermAnswer> =
-            futures::future::join_all(peers.iter().map(ask)).await.into_iter().collect();
-        let count = |answer| answers.values().filter(|a| **a == answer).count();
-        log::info!(
-            term = term.owner.term, entries = answers.len(), store_lost = count(TermAnswer::StoreLost),
-            silent = count(TermAnswer::Silent), unknown = count(TermAnswer::Unknown), took:? = asked.elapsed();
-            "other entries asked about the term"
-        );
-        answers
+        futures::future::join_all(peers.iter().map(ask)).await.into_iter().collect()
     }
 
     /// Tells the other entries, and the scheduler of the earlier term, that a later term has begun, until each answers. The
--- a/crates/core/src/sched/succession.rs
+++ b/crates/core/src/sched/succession.rs
@@ -80,7 +80,10 @@
         spread.sort_unstable();
         let mut entries = spread.into_iter().map(|(.., peers)| peers);
         let mut successors: Vec<SocketAddr> = entries.by_ref().take(SUCCESSORS).collect();
-        successors.extend(candidates.iter().filter(|c| c.data_centre.is_none()).map(|c| c.peers));
+        let mut earlier: Vec<SocketAddr> =
+            candidates.iter().filter(|c| c.data_centre.is_none()).map(|c| c.peers).collect();
+        earlier.sort_unstable();
+        successors.extend(earlier);
         Self { term, successors, listed: entries.collect() }
     }
 
