--- a/crates/carawaybarrow/tests/soak.rs
+++ b/crates/carawaybarrow/tests/soak.rs
@@ -54,8 +54,9 @@
 /// Number of seeds with divisions that run at the same time, each with up to nine processes.
 const DIVISION_SEEDS_AT_ONCE: usize = 2;
 
-/// Seed of the run in CI with cuts of data centres.
-const CUT_SEEDS: [u64; 1] = [700];
+/// Seed of the run in CI with cuts of data centres. It found a scheduler that went on beside its successor because the
+/// other entries of its data centre had lost the store too; this depends on timing and was seen in one of two runs.
+const CUT_SEEDS: [u64; 1] = [705];
 
 /// Number of seeds with cuts of data centres that run at the same time, each with up to nine processes.
 const CUT_SEEDS_AT_ONCE: usize = 2;
@@ -104,8 +105,6 @@
     // The jobs are drawn with another seed than the faults, so that the two sequences are independent.
     let sender = task::spawn(installation::send_jobs(entries.clone(), seed ^ 0x50a4, deadline, scenario.run_time_ms()));
     let faults = scenario.inject_faults(&installation, &mut rng, started, deadline).await;
-    // The last planned stop can take 4 s until its process is killed and restarted.
-    task::sleep(Duration::from_secs(5)).await;
     installation.end_faults();
     let mut jobs = sender.await;
     let mut violations = installation::await_final_states(&installation, &mut jobs).await;
--- a/crates/carawaybarrow/tests/soak_faults/mod.rs
+++ b/crates/carawaybarrow/tests/soak_faults/mod.rs
@@ -196,7 +196,8 @@
         }
     }
 
-    /// Injects faults until `deadline`, and returns their descriptions with the time since `started`.
+    /// Injects faults until `deadline`, waits for processes that they stopped, and returns their descriptions with the time
+    /// since `started`.
     pub async fn inject_faults(
         self,
         installation: &Installation,
@@ -217,6 +218,8 @@
             task::sleep(Duration::from_millis(rng.random_range(pause_ms.clone()))).await;
             faults.push(format!("{:?} {}", started.elapsed(), inject(installation, rng)));
         }
+        // The last planned stop can take 4 s until its process is killed and restarted.
+        task::sleep(Duration::from_secs(5)).await;
         faults
     }
 }
