Store the last rules of a removed queue

Cause: the last rules of a removed queue lived in the memory of the scheduler.

When a queue is removed and its last rules differ from those at acceptance, the progress of its jobs holds them. Jobs whose rules did not change cost no write.

Evidence: last_rules_of_a_removed_queue_survive_a_takeover fails before (2 runs of 4, 4 of 2). Limits of 2 to 5, with and without a takeover and with a queue that returns, pass.

--- a/crates/core/src/sched/job.rs
+++ b/crates/core/src/sched/job.rs
@@ -3,6 +3,7 @@
 use smol_str::SmolStr;
 
 use crate::sched::graph::{JobKey, JobSpec, Resources, TaskName, WorkerKey};
+use crate::sched::policy::QueuePolicy;
 use crate::sched::progress::{DoneTasks, FailedRuns, JobState, Progress};
 use crate::units::{Millis, MonoTime, WallTime};
 
@@ -151,12 +152,15 @@
 impl Job {
     /// Creates a job from its specification and its stored progress.
     #[must_use]
-    pub fn new(key: JobKey, spec: JobSpec, progress: Progress) -> Self {
+    pub fn new(key: JobKey, mut spec: JobSpec, progress: Progress) -> Self {
+        if let Some(rules) = &progress.last_rules {
+            spec.rules = rules.clone();
+        }
         Self {
             key,
             spec,
             occurrences: Vec::new(),
-            state: if progress == Progress::default() { JobState::Queued } else { JobState::Running },
+            state: if progress.has_ends() { JobState::Running } else { JobState::Queued },
             created: 0,
             is_over_share: false,
             is_cancelled: false,
@@ -203,6 +207,9 @@
         if progress == Progress::default() {
             return false;
         }
+        if let Some(rules) = &progress.last_rules {
+            self.spec.rules = rules.clone();
+        }
         self.stored_progress = progress;
         (0..u32::try_from(self.occurrences.len()).unwrap_or(u32::MAX)).for_each(|o| self.apply_stored_progress(o));
         true
@@ -249,6 +256,18 @@
         self.spec.steps.get(step as usize).map(crate::sched::graph::Step::reserved).unwrap_or_default()
     }
 
+    /// Keeps the last rules of a queue that is removed. Returns whether they have to be stored.
+    pub fn keep_last_rules(&mut self, last: &QueuePolicy) -> bool {
+        self.spec.pool = last.pool.clone();
+        let is_changed = self.spec.rules != QueuePolicy { pool: self.spec.rules.pool.clone(), ..last.clone() };
+        self.spec.rules = last.clone();
+        if is_changed {
+            self.stored_progress.last_rules = Some(last.clone());
+            self.version += 1;
+        }
+        is_changed
+    }
+
     /// Whether all tasks of all occurrences are done.
     #[must_use]
     pub fn is_complete(&self) -> bool {
@@ -299,7 +318,7 @@
     /// Progress to store.
     #[must_use]
     pub fn progress(&self) -> Progress {
-        let mut progress = Progress::default();
+        let mut progress = Progress { last_rules: self.stored_progress.last_rules.clone(), ..Progress::default() };
         for (o, occurrence) in self.occurrences.iter().enumerate() {
             for (s, step) in occurrence.steps.iter().enumerate() {
                 let number = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
--- a/crates/core/src/sched/progress.rs
+++ b/crates/core/src/sched/progress.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::sched::graph::{JobSpec, QueueName, TeamName};
+use crate::sched::policy::QueuePolicy;
 use crate::units::WallTime;
 
 /// State of a job.
@@ -73,11 +74,22 @@
 }
 
 /// Ends of runs of a job that must survive a change of scheduler.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Progress {
     /// Done tasks.
     pub done: Vec<DoneTasks>,
     /// Failed runs.
     pub failed: Vec<FailedRuns>,
+    /// Last rules of the job's queue, if the queue was removed and they differ from those at acceptance.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub last_rules: Option<QueuePolicy>,
+}
+
+impl Progress {
+    /// Whether a run of the job has ended.
+    #[must_use]
+    pub const fn has_ends(&self) -> bool {
+        !self.done.is_empty() || !self.failed.is_empty()
+    }
 }
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -169,15 +169,15 @@
     pub fn set_policy(&mut self, policy: Arc<Policy>) {
         if policy.version > self.policy.version {
             let old = std::mem::replace(&mut self.policy, policy);
-            for job in self.jobs.values_mut() {
-                let spec = &mut job.spec;
-                if !self.policy.queues.contains_key(&spec.queue)
-                    && let Some(last) = old.queues.get(&spec.queue)
+            for (key, job) in &mut self.jobs {
+                if !self.policy.queues.contains_key(&job.spec.queue)
+                    && let Some(last) = old.queues.get(&job.spec.queue)
+                    && job.keep_last_rules(last)
                 {
-                    spec.rules = last.clone();
-                    spec.pool = last.pool.clone();
+                    // A later scheduler knows neither the queue nor its last rules.
+                    self.writes.mark(key);
                 }
-                job.objective = objective(self.policy.rules_of(spec), spec);
+                job.objective = objective(self.policy.rules_of(&job.spec), &job.spec);
             }
         }
     }
--- a/crates/core/tests/sched/removed_queues.rs
+++ b/crates/core/tests/sched/removed_queues.rs
@@ -32,6 +32,7 @@
     model.policy = policy_with(3, None);
     model.scheduler.set_policy(Arc::clone(&model.policy));
     if has_takeover {
+        model.store_writes();
         model.replace_scheduler();
     }
     model.run_for(60_000);
@@ -55,3 +56,39 @@
     assert_eq!(count_attempts(2, 4, false), 4);
     assert_eq!(count_attempts(5, 2, false), 2);
 }
+
+/// Guards against a job that fails early, or gets an attempt too many, because the scheduler is replaced while its queue is
+/// removed: the next one knew only the rules at acceptance.
+#[test]
+fn last_rules_of_a_removed_queue_survive_a_takeover() {
+    assert_eq!(count_attempts(2, 4, true), 4);
+    assert_eq!(count_attempts(4, 2, true), 2);
+}
+
+/// Starts a job whose runs fail, removes its queue, replaces the scheduler, and brings the queue back with another limit.
+fn count_attempts_of_returned_queue(before: u32, after: u32) -> u32 {
+    let mut model = Model::new(6);
+    (0..6).for_each(|number| model.worker_mut(number).fails_tasks = true);
+    let mut spec = job(vec![step(1, 1_000)]);
+    spec.rules.max_attempts = before;
+    model.policy = policy_with(2, Some(before));
+    model.scheduler.set_policy(Arc::clone(&model.policy));
+    model.accept("j", spec);
+    model.run_for(100);
+    model.policy = policy_with(3, None);
+    model.scheduler.set_policy(Arc::clone(&model.policy));
+    model.run_for(100);
+    model.replace_scheduler();
+    model.policy = policy_with(4, Some(after));
+    model.scheduler.set_policy(Arc::clone(&model.policy));
+    model.run_for(60_000);
+    assert_eq!(model.state("j"), Some(JobState::Failed));
+    model.failed.values().sum()
+}
+
+/// Guards against a job that is not failed, or fails too early, when its queue returns with another limit.
+#[test]
+fn queue_that_returns_decides_the_attempts_of_its_jobs() {
+    assert_eq!(count_attempts_of_returned_queue(2, 4), 4);
+    assert_eq!(count_attempts_of_returned_queue(4, 4), 4);
+}
