Fail a job when a limit is lowered to its failed runs

A configuration, the start of a term and the end of a run that does not count now end such a job as failed. A run that is at work is not cut off: it may still be done.

--- a/crates/core/src/sched/job.rs
+++ b/crates/core/src/sched/job.rs
@@ -268,6 +268,14 @@
         is_changed
     }
 
+    /// Whether a task that needs a run has failed `max_attempts` times.
+    #[must_use]
+    pub fn has_used_up_attempts(&self, max_attempts: u32) -> bool {
+        let limit = max_attempts.max(1) as usize;
+        let mut tasks = self.occurrences.iter().flat_map(|o| &o.steps).flat_map(|s| &s.tasks);
+        tasks.any(|t| t.failed_runs.len() >= limit && t.is_waiting())
+    }
+
     /// Whether all tasks of all occurrences are done.
     #[must_use]
     pub fn is_complete(&self) -> bool {
--- a/crates/core/src/sched/runs.rs
+++ b/crates/core/src/sched/runs.rs
@@ -89,6 +89,7 @@
         }
         if !is_counted {
             let key = name.job.clone();
+            self.fail_if_attempts_used_up(&key);
             // The end may have been applied before, as another row or from an earlier list, and not be stored yet.
             let is_stored_later = matches!(kind, EndKind::Done | EndKind::Failed) && !is_lasting;
             let unstored = self.jobs.get(&key).filter(|j| is_stored_later && j.stored_version < j.version);
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -179,6 +179,16 @@
                 }
                 job.objective = objective(self.policy.rules_of(&job.spec), &job.spec);
             }
+            let keys: Vec<JobKey> = self.jobs.keys().cloned().collect();
+            keys.iter().for_each(|key| self.fail_if_attempts_used_up(key));
+        }
+    }
+
+    /// Ends a job as failed if a task may not run again. The limit may have been lowered since its last failure.
+    pub(super) fn fail_if_attempts_used_up(&mut self, key: &JobKey) {
+        let is_used_up = |job: &Job| job.has_used_up_attempts(self.policy.rules_of(&job.spec).max_attempts);
+        if self.jobs.get(key).is_some_and(is_used_up) {
+            self.end_job(key, JobState::Failed);
         }
     }
 
@@ -225,6 +235,7 @@
         }
         self.jobs.insert(key.clone(), job);
         self.adopt_orphans(now.mono, &key);
+        self.fail_if_attempts_used_up(&key);
         self.finish_if_complete(&key);
     }
 
--- a/crates/core/tests/sched/removed_queues.rs
+++ b/crates/core/tests/sched/removed_queues.rs
@@ -92,3 +92,25 @@
     assert_eq!(count_attempts_of_returned_queue(2, 4), 4);
     assert_eq!(count_attempts_of_returned_queue(4, 4), 4);
 }
+
+/// Guards against a start after a limit that was lowered to the number of failed runs: the limit was checked only at the
+/// next failure, which is a run too late.
+#[test]
+fn lowered_limit_fails_a_job_that_has_reached_it() {
+    let mut model = Model::new(6);
+    (0..6).for_each(|number| model.worker_mut(number).fails_tasks = true);
+    model.policy = policy_with(2, Some(6));
+    model.scheduler.set_policy(Arc::clone(&model.policy));
+    model.accept("j", job(vec![step(1, 1_000)]));
+    while model.failed.values().sum::<u32>() < 3 {
+        model.run_scheduler();
+        model.advance_time();
+        model.poll_all();
+        model.store_writes();
+    }
+    model.policy = policy_with(3, Some(2));
+    model.scheduler.set_policy(Arc::clone(&model.policy));
+    model.run_for(20_000);
+    assert_eq!(model.state("j"), Some(JobState::Failed));
+    assert_eq!(model.failed.values().sum::<u32>(), 3);
+}
