Add stored failed runs to known ones

A job that another entry announces before the scheduler has read its progress may have failed runs of both terms. The stored ones replaced those found since, so a task could get an attempt too many (BUDGET).

The runs are merged by their numbers, which differ between terms.

Evidence: stored_failed_runs_are_added_to_known_ones fails before (the new run is missing).

--- a/crates/core/src/sched/job.rs
+++ b/crates/core/src/sched/job.rs
@@ -232,7 +232,9 @@
             let task = steps.get_mut(failed.step as usize).and_then(|s| s.tasks.get_mut(failed.task as usize));
             if let Some(task) = task {
                 task.last_run = failed.runs.iter().copied().max().unwrap_or(0).max(task.last_run);
-                task.failed_runs.clone_from(&failed.runs);
+                let new = failed.runs.iter().filter(|run| !task.failed_runs.contains(run)).copied();
+                let new: Vec<u32> = new.collect();
+                task.failed_runs.extend(new);
             }
         }
     }
--- a/crates/core/tests/sched/removed_queues.rs
+++ b/crates/core/tests/sched/removed_queues.rs
@@ -114,3 +114,21 @@
     assert_eq!(model.state("j"), Some(JobState::Failed));
     assert_eq!(model.failed.values().sum::<u32>(), 3);
 }
+
+/// Guards against failed runs that are forgotten because the stored ones arrive later and replace them.
+#[test]
+fn stored_failed_runs_are_added_to_known_ones() {
+    use carawaybarrow_core::sched::graph::{JobKey, TaskName};
+    use carawaybarrow_core::sched::job::Job;
+    use carawaybarrow_core::sched::progress::{FailedRuns, Progress};
+
+    let name = TaskName { job: JobKey::new("j"), occurrence: 0, step: 0, index: 0 };
+    let mut found = Job::new(JobKey::new("j"), job(vec![step(1, 1_000)]), Progress::default());
+    found.add_found_due(0, carawaybarrow_core::units::MonoTime(0));
+    found.task_mut(&name).expect("the task exists").failed_runs = vec![1_001];
+    let stored = FailedRuns { occurrence: 0, step: 0, task: 0, runs: vec![1, 2] };
+    assert!(found.merge_progress(Progress { failed: vec![stored], ..Progress::default() }));
+    let mut runs = found.task(&name).expect("the task exists").failed_runs.clone();
+    runs.sort_unstable();
+    assert_eq!(runs, [1, 2, 1_001]);
+}
