Start no earlier job before earlier schedulers have stopped

Callers could see a task run twice (TWICE): a worker that had refused the token of the previous scheduler crashed and started again under its id. It had then seen no token and executed an order of the previous scheduler, while the present one had started the task elsewhere, as all workers had answered.

Cause: an answer excludes orders of earlier terms only as long as the worker does not restart. Nothing in an order tells two incarnations of one id apart, so the worker can't refuse it.

Jobs that were accepted before earlier schedulers stopped now wait until these have stopped, at most 2 s after the term began, and until each worker that they may have used has answered a poll sent after that, or its lease has lapsed. Polls end at that moment, and the next ones are answered at once, so that the wait is one round trip longer. A worker whose VM is down counts as silent, as it may return. The store need not answer for it.

Three tests of takeovers demanded starts within 100 ms of a takeover: they now demand them just after earlier schedulers have stopped, and none before.

--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -376,6 +376,7 @@
 async fn await_previous_stopped(term: Arc<Term>) {
     // A timeout means that earlier schedulers have stopped by themselves.
     let _ = future::timeout(PREVIOUS_TERM_OVERRUN.to_duration(), term.wait_for_previous_stopped()).await;
+    term.with(|s| s.record_no_earlier_starts(view::now().mono));
     while !term.is_ended() {
         let stopped = view::now().mono;
         match term.view.store.list(RELEASED_TERM_KEY, STORE_TIMEOUT).await {
--- a/crates/core/src/sched/answers.rs
+++ b/crates/core/src/sched/answers.rs
@@ -44,6 +44,7 @@
         if let Some(worker) = self.workers.get_mut(key) {
             is_first_answer = !worker.refuses_earlier_terms;
             worker.is_gone = false;
+            worker.may_return = false;
             if !worker.refuses_earlier_terms {
                 // Until this answer, the previous scheduler may have extended the worker's lease.
                 worker.assume_lease(now.mono, lease);
@@ -55,7 +56,7 @@
             worker.has_orphans = has_orphans;
         }
         // The ends that a full list leaves out may be of tasks that would start again.
-        if has_all_ends {
+        if has_all_ends && self.shows_earlier_runs(sent) {
             self.unreconciled.remove(key);
         }
         self.check_reconciled(now.mono);
@@ -81,6 +82,9 @@
     pub(super) fn drop_crashed_worker(&mut self, now: MonoTime, key: &WorkerKey) {
         self.drop_runs(now, key, |(_, run)| run.is_confirmed());
         self.end_worker(now, key);
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.may_return = true;
+        }
     }
 
     fn end_worker(&mut self, now: MonoTime, key: &WorkerKey) {
--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -124,13 +124,15 @@
     /// Adds the workers on which earlier terms may have started runs, and waits for their lists.
     pub fn apply_recovery_set(&mut self, now: MonoTime, recovery_set: Vec<WorkerReport>) {
         self.recovery_set_size = recovery_set.len();
+        self.earlier_workers = recovery_set.iter().map(|r| r.key.clone()).collect();
         for report in recovery_set {
             let key = report.key.clone();
             let worker = self.workers.entry(key.clone()).or_insert_with(|| Worker::new(report, false, now));
             worker.is_in_recovery_set = true;
             self.unreconciled.insert(key);
         }
-        self.reconcile_by = now + PREVIOUS_TERM_OVERRUN + self.longest_earlier_lease();
+        self.previous_stops_by = now + PREVIOUS_TERM_OVERRUN;
+        self.reconcile_by = self.previous_stops_by + self.longest_earlier_lease();
         self.is_reconciled = false;
         self.check_reconciled(now);
     }
@@ -147,14 +149,16 @@
             self.unreconciled.retain(|key| self.workers.get(key).is_some_and(may_list_more));
             silent = before - self.unreconciled.len();
         }
-        if !self.is_reconciled && self.unreconciled.is_empty() {
+        let has_stopped = self.previous_stopped_at.is_some() || have_leases_lapsed;
+        let has_no_earlier_runs = has_stopped || self.earlier_workers.is_empty();
+        if !self.is_reconciled && self.unreconciled.is_empty() && has_no_earlier_runs {
             self.is_reconciled = true;
             self.events.push(Event::Reconciled { silent });
         }
     }
 
-    /// Whether all runs of earlier terms are known, because the workers that may hold them have answered or their
-    /// leases have lapsed.
+    /// Whether all runs of earlier terms are known, because the workers that may hold them have answered since earlier
+    /// schedulers stopped, or their leases have lapsed.
     #[must_use]
     pub const fn is_reconciled(&self) -> bool {
         self.is_reconciled
@@ -168,10 +172,34 @@
     /// Records that earlier schedulers have stopped, and a revision that the store reached after that. Jobs that are
     /// accepted later can only have been started in this term.
     pub fn record_previous_stopped(&mut self, now: MonoTime, revision: u64) {
-        if self.previous_stopped.is_none() {
-            self.previous_stopped = Some(revision);
-            self.reconcile_by = self.reconcile_by.min(now + self.longest_earlier_lease());
+        self.record_no_earlier_starts(now);
+        self.previous_stopped.get_or_insert(revision);
+    }
+
+    /// Records that earlier schedulers have stopped, although no revision of the store since then is known.
+    ///
+    /// A worker that answered before may have restarted since. It had then seen no fencing token, and may have executed a
+    /// start of an earlier scheduler. So each one has to answer again.
+    pub fn record_no_earlier_starts(&mut self, now: MonoTime) {
+        if self.previous_stopped_at.is_some() {
+            return;
+        }
+        self.previous_stopped_at = Some(now);
+        self.reconcile_by = self.reconcile_by.min(now + self.longest_earlier_lease());
+        if self.is_reconciled {
+            return;
+        }
+        for key in std::mem::take(&mut self.earlier_workers) {
+            if self.workers.get(&key).is_some_and(|w| !w.is_gone || w.may_return) {
+                self.unreconciled.insert(key);
+            }
         }
+        self.check_reconciled(now);
+    }
+
+    /// Whether the answer to a poll that was sent at a time shows all runs that earlier schedulers have started there.
+    pub(super) fn shows_earlier_runs(&self, sent: MonoTime) -> bool {
+        self.previous_stopped_at.is_none_or(|at| sent >= at)
     }
 
     /// Whether earlier schedulers are known to have stopped.
@@ -180,17 +208,24 @@
         self.previous_stopped.is_some()
     }
 
-    /// Whether every run of the job that earlier terms may have started is known.
+    /// Whether every run of the job that earlier terms may have started is known. Until earlier schedulers have stopped,
+    /// they may start any job that was accepted before on a worker that restarts.
     pub(super) fn is_job_reconciled(&self, job: &Job) -> bool {
         // The previous scheduler may have been notified of any job that was accepted before it stopped.
         let is_new = self.previous_stopped.is_some_and(|revision| job.created > revision);
+        if is_new || self.is_reconciled {
+            return true;
+        }
+        if self.previous_stopped_at.is_none() {
+            return false;
+        }
         let present = self.pool_of(&job.spec);
         // The stored pools miss the other two only if earlier terms did not store any.
         let may_have_runs = |pool: &PoolName| {
             *pool == job.spec.pool || pool == present || self.is_queue_pool_stored(&job.spec.queue, pool)
         };
         let is_unknown = |key| self.workers.get(key).is_some_and(|w| may_have_runs(&w.report.pool));
-        is_new || self.is_reconciled || !self.unreconciled.iter().any(is_unknown)
+        !self.unreconciled.iter().any(is_unknown)
     }
 
     /// Most that runs of earlier terms may use that are not known: the free resources of workers that have not answered or
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -86,8 +86,15 @@
     /// Ended jobs that are stored, whose state callers may still ask for.
     pub(super) ended: Map<JobKey, EndedJob>,
     pub(super) writes: WriteQueue,
-    /// Workers of the recovery set that have not answered yet.
+    /// Workers that may have runs of earlier terms that are not known: those of the recovery set until they answer, and
+    /// again until they answer a poll that was sent after earlier schedulers had stopped.
     pub(super) unreconciled: Set<WorkerKey>,
+    /// Workers on which earlier schedulers may have started runs.
+    pub(super) earlier_workers: Vec<WorkerKey>,
+    /// Time by which earlier schedulers have stopped by themselves.
+    pub(super) previous_stops_by: MonoTime,
+    /// Time since which earlier schedulers are known to have stopped.
+    pub(super) previous_stopped_at: Option<MonoTime>,
     /// Time by which the leases of earlier terms have lapsed.
     pub(super) reconcile_by: MonoTime,
     /// Time at which this term was last known to be the latest one.
@@ -135,6 +142,9 @@
             ended: Map::default(),
             writes: WriteQueue::default(),
             unreconciled: Set::default(),
+            earlier_workers: Vec::new(),
+            previous_stops_by: MonoTime(0),
+            previous_stopped_at: None,
             reconcile_by: MonoTime(0),
             confirmed_at: MonoTime(0),
             previous_stopped: None,
@@ -362,12 +372,17 @@
         let is_answering = worker.last_answer.is_some_and(|at| now.since(at).0 < crate::sched::worker::SILENCE_LIMIT.0);
         // The lease of a silent worker must lapse, so that its tasks can start elsewhere.
         let lease_until = if is_answering && is_confirmed { worker.extend_lease(now, lease) } else { None };
-        let must_answer_at_once = worker.has_unstored_ends() || !is_answering || lease_until.is_none();
-        let wait = match must_answer_at_once {
+        let is_awaited = self.previous_stopped_at.is_some() && self.unreconciled.contains(key);
+        let must_answer_at_once = worker.has_unstored_ends() || !is_answering || lease_until.is_none() || is_awaited;
+        let mut wait = match must_answer_at_once {
             true => Millis(0),
             false if worker.runs.is_empty() => MAX_IDLE_WAIT,
             false => MAX_WAIT,
         };
+        if !self.is_reconciled && self.previous_stopped_at.is_none() && now < self.previous_stops_by {
+            // The next poll is sent once earlier schedulers have stopped, as its answer shows what they started.
+            wait = wait.min(self.previous_stops_by.since(now));
+        }
         Some(Poll { lease_until, durable_end: worker.begin_discard(), wait })
     }
 
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -60,6 +60,8 @@
     /// Whether it has ended and has not answered since: the list of VMs, another worker on its VM or an answer at its
     /// address showed it.
     pub is_gone: bool,
+    /// Whether it is gone because its VM is down, so that it may start again under its id.
+    pub may_return: bool,
     /// Time since which this scheduler knows its present incarnation.
     pub known_since: MonoTime,
     /// Whether it was listed for the first time after the first list of the term.
@@ -121,6 +123,7 @@
             report,
             is_reported,
             is_gone: false,
+            may_return: false,
             known_since: now,
             is_arrival: false,
             is_cordoned: false,
--- a/crates/core/tests/sched/moved_queues.rs
+++ b/crates/core/tests/sched/moved_queues.rs
@@ -6,6 +6,7 @@
 use carawaybarrow_core::sched::graph::{PoolName, QueueName};
 use carawaybarrow_core::sched::policy::{Policy, QueuePolicy};
 use carawaybarrow_core::sched::progress::JobState;
+use carawaybarrow_core::sched::recovery::PREVIOUS_TERM_OVERRUN;
 
 use super::model::{Model, job, policy, rules, step};
 
@@ -90,8 +91,8 @@
     model.policy = policy_with(3, Some("p"));
     model.accept("j", job(vec![step(1, 1_000)]));
     model.replace_scheduler();
-    model.run_for(100);
-    assert_eq!(model.worker_mut(0).runs.len(), 1);
+    model.run_for(PREVIOUS_TERM_OVERRUN.0 + 100);
+    assert_eq!(model.worker_mut(0).runs.len(), 1, "the lease of the silent worker lasts longer");
 }
 
 /// Guards against a task that starts in a pool before the store shows that its queue may have runs there, as the next
--- a/crates/core/tests/sched/restarts.rs
+++ b/crates/core/tests/sched/restarts.rs
@@ -3,6 +3,7 @@
 use carawaybarrow_core::sched::maintenance::{Vm, VmState};
 use carawaybarrow_core::sched::order::{Order, StartAnswer};
 use carawaybarrow_core::sched::progress::JobState;
+use carawaybarrow_core::sched::recovery::PREVIOUS_TERM_OVERRUN;
 use carawaybarrow_core::sched::worker::LATE_CALL_LIMIT;
 use carawaybarrow_core::units::MonoTime;
 
@@ -301,13 +302,33 @@
     model.poll_all();
     model.accept_unannounced("j", job(vec![step(1, 1_000)]));
     model.advance_time();
-    let (now, key) = (MonoTime(model.now), report(0).key);
-    model.scheduler.record_lost_poll(&key, true);
-    model.scheduler.apply_vm_list(now, now, &list_with_down_vm(&model, 0));
+    // The present scheduler would start the task on the other worker.
+    let key = report(0).key;
+    model.scheduler.set_cordoned(&key, true);
     model.announce("j");
     model.run_scheduler();
-    assert_eq!(model.worker_mut(1).runs.len(), 1, "the present scheduler has started the task");
     model.worker_mut(0).restart();
     model.run_previous(&key);
     model.check_invariants();
+    assert_eq!(model.worker_mut(0).runs.len(), 1, "the previous scheduler has started the task");
+    for _ in 0..PREVIOUS_TERM_OVERRUN.0 / STEP_MS + 10 {
+        model.run_for(STEP_MS);
+        model.check_invariants();
+    }
+    assert_eq!(model.count_running(), 1);
+}
+
+/// Guards against jobs of earlier terms that wait longer than until their scheduler has stopped and all workers have
+/// answered once more.
+#[test]
+fn jobs_of_earlier_terms_start_once_their_scheduler_has_stopped() {
+    let mut model = Model::new(2);
+    model.work_ms = 20_000;
+    model.run_for(SETTLING_MS);
+    model.replace_scheduler_unnoticed();
+    model.accept("j", job(vec![step(1, 1_000)]));
+    model.run_for(PREVIOUS_TERM_OVERRUN.0);
+    assert_eq!(model.count_running(), 0, "the previous scheduler may start it on a worker that restarts");
+    model.run_for(2 * STEP_MS);
+    assert_eq!(model.count_running(), 1);
 }
--- a/crates/core/tests/sched/takeover.rs
+++ b/crates/core/tests/sched/takeover.rs
@@ -121,6 +121,8 @@
         };
         let now = MonoTime(model.now);
         model.scheduler.apply_vm_list(now, now, &[moved]);
+        model.scheduler.record_no_earlier_starts(now);
+        model.poll(&WorkerKey::new("w0"));
         assert_eq!(model.scheduler.is_reconciled(), is_gone, "refused: {is_refused}");
     }
 }
@@ -191,8 +193,8 @@
 }
 
 /// Guards against a task that runs twice because the previous scheduler starts it as well. It is notified of a job that
-/// is accepted just after the takeover too, and a worker that the new scheduler has not polled yet accepts its order.
-/// Seen in the recorded run trouble-3.
+/// is accepted just after the takeover too, and a worker that the new scheduler has not polled yet, or that has restarted
+/// since, accepts its order. Seen in the recorded run trouble-3.
 #[test]
 fn new_job_waits_until_the_pool_has_answered() {
     let mut model = Model::new(2);
@@ -204,6 +206,13 @@
     assert_eq!(model.scheduler.take_orders(), [], "w1 may run it by an order of the previous scheduler");
     model.poll(&WorkerKey::new("w1"));
     model.scheduler.plan(model.time());
+    assert_eq!(model.scheduler.take_orders(), [], "either may restart and run it by such an order");
+    model.scheduler.record_no_earlier_starts(MonoTime(model.now));
+    model.poll(&WorkerKey::new("w0"));
+    model.scheduler.plan(model.time());
+    assert_eq!(model.scheduler.take_orders(), [], "w1 may run it by such an order");
+    model.poll(&WorkerKey::new("w1"));
+    model.scheduler.plan(model.time());
     assert_eq!(model.scheduler.take_orders().len(), 1);
 }
 
