Continue a wave only by a list that shows earlier orders

More VMs could be down than a wave allows (LIMIT): the earlier scheduler ordered its last VM down just before it stopped, could not store that, and the list of VMs, which lags by up to 2 s, did not show it when its successor gave its first orders 3 s after it began.

A wave that an earlier term began goes on by a list that was requested at least 3 s after earlier schedulers stopped: 1 s for a call that is still executed, and 2 s for the lag. A wave that begins in this term waits for nothing.

--- a/crates/carawaybarrow/src/node/vm_orders.rs
+++ b/crates/carawaybarrow/src/node/vm_orders.rs
@@ -7,7 +7,7 @@
 use carawaybarrow_core::Set;
 use carawaybarrow_core::sched::balance::BalanceState;
 use carawaybarrow_core::sched::candidacy::Strength;
-use carawaybarrow_core::sched::maintenance::{Vm, VmAnswer, Wave, WaveProgress};
+use carawaybarrow_core::sched::maintenance::{VM_CALL_LIMIT, Vm, VmAnswer, Wave, WaveProgress};
 use carawaybarrow_core::units::{Millis, MonoTime};
 use carawaybarrow_platform::configuration::WAVE_REQUEST_PREFIX;
 use carawaybarrow_platform::store::{Change, ChangeOutcome, StoreError, StoreRevision};
@@ -23,7 +23,7 @@
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Time for an answer of the VM API: a page of the list of VMs, or an order.
-const VM_API_TIMEOUT: Duration = Duration::from_millis(1_000);
+const VM_API_TIMEOUT: Duration = VM_CALL_LIMIT.to_duration();
 
 /// Time between reads of the requested waves.
 const WAVE_INTERVAL: Millis = Millis(1_000);
@@ -163,32 +163,33 @@
                 continue;
             }
         }
-        let progress = match read_wave_progress(term, request.number).await {
-            Ok(progress) => progress,
+        let stored = match read_wave_progress(term, request.number).await {
+            Ok(stored) => stored,
             Err(e) => {
                 log::info!(wave = request.number, error:% = e; "progress of a wave can't be read");
                 continue;
             }
         };
+        let now = view::now();
+        let progress = stored.unwrap_or_else(|| WaveProgress { started: now.wall, ordered: Vec::new() });
         log::info!(wave = request.number, vms = request.vms.len(), ceiling = request.ceiling, within_ms = request.within.0, ordered = progress.ordered.len(); "wave begins or continues");
-        let wave = Wave::new(request, view::now(), &progress);
+        let wave = Wave::new(request, now, &progress);
         if store_wave_state(term, &wave, false).await {
             waves.push(wave);
         }
     }
 }
 
-/// Stored progress of a wave of earlier terms, or that of a wave that begins now.
-async fn read_wave_progress(term: &Arc<Term>, number: u64) -> Result<WaveProgress, StoreError> {
+/// Stored progress of a wave of earlier terms; `None` for a wave that begins now.
+async fn read_wave_progress(term: &Arc<Term>, number: u64) -> Result<Option<WaveProgress>, StoreError> {
     let item = term.view.store.get(&records::wave_progress_key(number), STORE_TIMEOUT).await?;
-    let stored = item.and_then(|i| i.value).and_then(|value| match records::decode(&value) {
+    Ok(item.and_then(|i| i.value).and_then(|value| match records::decode(&value) {
         Ok(progress) => Some(progress),
         Err(e) => {
             log::error!(wave = number, error:% = e; "progress of a wave is malformed; maintenance is ordered again for all its VMs");
             None
         }
-    });
-    Ok(stored.unwrap_or_else(|| WaveProgress { started: view::now().wall, ordered: Vec::new() }))
+    }))
 }
 
 /// Stores the state of a wave for operators, and its progress for a later scheduler. Returns whether the store
--- a/crates/core/src/sched/maintenance.rs
+++ b/crates/core/src/sched/maintenance.rs
@@ -20,6 +20,9 @@
 /// Part of a wave's time in which it is planned to end, in percent; the rest is a reserve for faults.
 const PLANNED_PERCENT: u64 = 75;
 
+/// Maximum time that a call to the VM API takes. Its order may be executed until then.
+pub const VM_CALL_LIMIT: Millis = Millis(1_000);
+
 /// State of a VM as the platform lists it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum VmState {
@@ -118,10 +121,13 @@
     /// Time by which it is planned to end.
     pub due: MonoTime,
     started: WallTime,
+    /// Whether an earlier term began it, so that VMs may be down by orders that its progress lacks.
+    is_continued: bool,
 }
 
 impl Wave {
-    /// Continues a wave from the progress of earlier terms. The VMs that they ordered may still be down.
+    /// Begins a wave, whose progress has the present time, or continues one from the progress of earlier terms. The VMs
+    /// that they ordered may still be down.
     #[must_use]
     pub fn new(request: WaveRequest, now: Now, progress: &WaveProgress) -> Self {
         let step = |vm: &VmKey| if progress.ordered.contains(vm) { VmStep::Down(now.mono) } else { VmStep::Waiting };
@@ -129,7 +135,7 @@
         let planned = request.within.0 * PLANNED_PERCENT / 100;
         let passed = now.wall.since(progress.started).0;
         let due = now.mono + Millis(planned.saturating_sub(passed));
-        Self { request, vms, due, started: progress.started }
+        Self { request, vms, due, started: progress.started, is_continued: progress.started != now.wall }
     }
 
     /// State to store for a later scheduler.
@@ -187,6 +193,9 @@
                 _ => {}
             }
         }
+        if wave.is_continued && !self.may_prepare_vm_orders(now) {
+            return Vec::new();
+        }
         // An earlier scheduler may have ordered VMs down until just before it ended, and not have stored it.
         let is_in_maintenance = |key: &VmKey| by_key.get(key).is_some_and(|vm| vm.state == VmState::Maintenance);
         let is_waiting = |(key, step): &(&VmKey, &VmStep)| **step == VmStep::Waiting && is_in_maintenance(key);
@@ -201,7 +210,8 @@
             .collect();
         for (key, since) in evacuating {
             let worker = by_key.get(&key).and_then(|vm| vm.worker.clone());
-            let may_go_down = wave.down() + down_unordered < wave.request.ceiling;
+            let may_go_down = wave.down() + down_unordered < wave.request.ceiling
+                && (!wave.is_continued || self.shows_earlier_vm_orders());
             if self.evacuate_worker(now, worker.as_ref(), since) && may_go_down {
                 wave.vms.insert(key.clone(), VmStep::Ordered(now));
                 ready.push(key);
@@ -226,6 +236,16 @@
         ready
     }
 
+    /// Whether the last list of VMs shows all VMs that earlier schedulers have ordered down.
+    fn shows_earlier_vm_orders(&self) -> bool {
+        self.vm_list_requested >= self.earlier_vm_orders_listed_by
+    }
+
+    /// Whether a VM whose evacuation begins now can be ordered down when it ends.
+    fn may_prepare_vm_orders(&self, now: MonoTime) -> bool {
+        now + EVACUATION_TIME >= self.earlier_vm_orders_listed_by
+    }
+
     /// Returns VMs of a wave to service whose evacuation has taken too long, or could not end because no orders may be
     /// given.
     pub fn end_long_evacuations(&mut self, now: MonoTime, wave: &mut Wave, listed: &[Vm]) {
--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -10,7 +10,7 @@
 use crate::sched::event::Event;
 use crate::sched::graph::{PoolName, QueueName, Resources, VmKey, WorkerKey};
 use crate::sched::job::Job;
-use crate::sched::maintenance::{Vm, VmState};
+use crate::sched::maintenance::{VM_CALL_LIMIT, Vm, VmState};
 use crate::sched::order::WorkerReport;
 use crate::sched::policy::QueuePolicy;
 use crate::sched::scheduler::{Scheduler, WORKER_LEASE};
@@ -22,7 +22,7 @@
 pub const PREVIOUS_TERM_OVERRUN: Millis = Millis(2_000);
 
 /// Time after a worker became known in which a list of VMs may not show it yet, as the list lags.
-const VM_LIST_LAG: Millis = Millis(2_000);
+pub const VM_LIST_LAG: Millis = Millis(2_000);
 
 /// Error of a worker's start time, as the wall clock of an entry may jump by seconds. The platform allows 5 s for such
 /// jumps where it checks the times of jobs.
@@ -79,6 +79,7 @@
     /// `requested` is the time at which the list was requested. The list says nothing about workers that have answered
     /// since. As it lags, it may also show a VM as it was before its worker started.
     pub fn apply_vm_list(&mut self, requested: MonoTime, now: MonoTime, vms: &[Vm]) {
+        self.vm_list_requested = self.vm_list_requested.max(requested);
         let by_key: Map<&VmKey, &Vm> = vms.iter().map(|vm| (&vm.key, vm)).collect();
         let is_gone = |worker: &&Worker| {
             let Some(key) = &worker.report.vm else { return false };
@@ -133,6 +134,7 @@
         }
         self.previous_stops_by = now + PREVIOUS_TERM_OVERRUN;
         self.reconcile_by = self.previous_stops_by + self.longest_earlier_lease();
+        self.earlier_vm_orders_listed_by = self.previous_stops_by + VM_CALL_LIMIT + VM_LIST_LAG;
         self.is_reconciled = false;
         self.check_reconciled(now);
     }
@@ -185,6 +187,8 @@
             return;
         }
         self.previous_stopped_at = Some(now);
+        let listed_by = now + VM_CALL_LIMIT + VM_LIST_LAG;
+        self.earlier_vm_orders_listed_by = self.earlier_vm_orders_listed_by.min(listed_by);
         self.reconcile_by = self.reconcile_by.min(now + self.longest_earlier_lease());
         if self.is_reconciled {
             return;
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -95,6 +95,10 @@
     pub(super) previous_stops_by: MonoTime,
     /// Time since which earlier schedulers are known to have stopped.
     pub(super) previous_stopped_at: Option<MonoTime>,
+    /// Time from which lists of VMs show all orders of earlier schedulers.
+    pub(super) earlier_vm_orders_listed_by: MonoTime,
+    /// Time at which the last list of VMs was requested.
+    pub(super) vm_list_requested: MonoTime,
     /// Time by which the leases of earlier terms have lapsed.
     pub(super) reconcile_by: MonoTime,
     /// Time at which this term was last known to be the latest one.
@@ -145,6 +149,8 @@
             earlier_workers: Vec::new(),
             previous_stops_by: MonoTime(0),
             previous_stopped_at: None,
+            earlier_vm_orders_listed_by: MonoTime(0),
+            vm_list_requested: MonoTime(0),
             reconcile_by: MonoTime(0),
             confirmed_at: MonoTime(0),
             previous_stopped: None,
--- a/crates/core/tests/sched/capacity.rs
+++ b/crates/core/tests/sched/capacity.rs
@@ -2,7 +2,8 @@
 
 use carawaybarrow_core::sched::balance::BalanceState;
 use carawaybarrow_core::sched::graph::{PoolName, VmKey};
-use carawaybarrow_core::sched::maintenance::{VmAnswer, VmState, Wave, WaveProgress, WaveRequest};
+use carawaybarrow_core::sched::maintenance::{VM_CALL_LIMIT, VmAnswer, VmState, Wave, WaveProgress, WaveRequest};
+use carawaybarrow_core::sched::recovery::{PREVIOUS_TERM_OVERRUN, VM_LIST_LAG};
 use carawaybarrow_core::units::{Millis, MonoTime};
 
 use super::model::{Model, job, standby_vms, step};
@@ -274,3 +275,33 @@
     ordered.retain(|vm| !last_ordered.contains(vm));
     assert_eq!(ordered, [], "{last_ordered:?} is down");
 }
+
+/// Guards against a wave that stops for good after a change of scheduler, and against one that goes on by a list of VMs
+/// that was requested too early to show the last orders of the earlier scheduler.
+#[test]
+fn continued_wave_goes_on_once_the_list_shows_earlier_orders() {
+    let mut model = Model::new(2);
+    model.run_for(300);
+    let progress = WaveProgress { started: model.time().wall, ordered: Vec::new() };
+    model.replace_scheduler();
+    let listed_by = MonoTime(model.now) + PREVIOUS_TERM_OVERRUN + VM_CALL_LIMIT + VM_LIST_LAG;
+    model.advance_time();
+    let mut wave = Wave::new(wave_request(&model, 1), model.time(), &progress);
+    let mut requested = MonoTime(model.now);
+    while MonoTime(model.now) < listed_by + Millis(1_000) {
+        // The list is read again only later.
+        if MonoTime(model.now) < listed_by {
+            requested = MonoTime(model.now);
+            let listed = model.list_vms();
+            model.scheduler.apply_vm_list(requested, requested, &listed);
+        }
+        let listed = model.list_vms();
+        assert_eq!(model.scheduler.advance_wave(MonoTime(model.now), &mut wave, &listed), [], "{requested:?}");
+        model.run_for(50);
+    }
+    let now = MonoTime(model.now);
+    let listed = model.list_vms();
+    model.scheduler.apply_vm_list(now, now, &listed);
+    let ordered = model.scheduler.advance_wave(now, &mut wave, &listed);
+    assert_eq!(ordered.len(), 1, "{wave:?}");
+}
