Keep ends at workers, and their leases, while earlier schedulers may act

Workers discard no ends until earlier schedulers have stopped, so that an end which is lost with a restart was never taken note of. A worker that has restarted counts as having the longest lease that an earlier scheduler grants.

So that a change of scheduler stays short, the next scheduler no longer waits 2 s for a process that has been replaced: the key of the last scheduler says whether all before it had stopped, and an entry that is told of a term answers with the start of its process. A recorded release counts as well. Polls wait at most 250 ms until then.

--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -20,8 +20,8 @@
 
 use crate::node::peers::SchedulerClient;
 use crate::node::records::{
-    self, JOB_PREFIX, JobItem, LAST_SCHEDULER_KEY, Owner, PROGRESS_PREFIX, QUEUE_POOLS_KEY, RECOVERY_SET_KEY,
-    RELEASED_TERM_KEY, SCHEDULER_KEY, SUCCESSION_KEY, TERM_COUNT_KEY,
+    self, JOB_PREFIX, JobItem, LAST_SCHEDULER_KEY, LastScheduler, Owner, PROGRESS_PREFIX, QUEUE_POOLS_KEY,
+    RECOVERY_SET_KEY, RELEASED_TERM_KEY, SCHEDULER_KEY, SUCCESSION_KEY, TERM_COUNT_KEY,
 };
 use crate::node::term::Term;
 use crate::node::view::{self, View};
@@ -71,7 +71,8 @@
 
 /// Probes the store, begins a term when there is no scheduler, and requests a handover from a weaker scheduler. Runs
 /// until the process stops.
-pub async fn run(view: Arc<View>, scheduler: Arc<SchedulerClient>, incarnation: u64) {
+pub async fn run(view: Arc<View>, scheduler: Arc<SchedulerClient>) {
+    let incarnation = view.incarnation;
     let mut vacant_since = None;
     let mut vacancy = Vacancy::default();
     // Latest known term when an attempt said how long this entry waits after it, and the end of the wait.
@@ -135,7 +136,7 @@
     end_lease(term).await;
 }
 
-fn run_term(term: Term, scheduler: Arc<SchedulerClient>, earlier: Option<Owner>) {
+fn run_term(term: Term, scheduler: Arc<SchedulerClient>, earlier: Option<LastScheduler>) {
     let term = Arc::new(term);
     let successors = term.succession().successors().len();
     log::info!(term = term.owner.term, token = term.revision.0, successors = successors; "term begun");
@@ -196,7 +197,7 @@
 /// Outcome of an attempt to begin a term.
 enum Attempt {
     /// The term, and the scheduler of the term before it.
-    Begun(Box<Term>, Option<Owner>),
+    Begun(Box<Term>, Option<LastScheduler>),
     /// This entry may begin a term after this time.
     Waiting(Millis),
     /// Another entry was faster.
@@ -229,7 +230,7 @@
         _ => None,
     };
     let earlier = match earlier {
-        Some(Item { value: Some(value), .. }) => Some(records::decode::<Owner>(&value)?),
+        Some(Item { value: Some(value), .. }) => Some(records::decode::<LastScheduler>(&value)?),
         _ => None,
     };
     let (succession, succession_revision) = match succession {
@@ -238,12 +239,17 @@
     };
     // A scheduler that recorded its release, or an earlier incarnation of this entry, gives no more VM orders.
     let may_order_vms_at_once = count == 0 || is_own_stale_key || released == Some(count - 1);
+    let mut have_all_stopped = count == 0;
     if let Some(last) = count.checked_sub(1) {
         view.record_term(last);
         // The last scheduler acts no more if it has recorded its release, or if it was this entry. It was of a version
         // without succession if it stored none; the other entries then had to confirm its term.
-        let has_stopped = released == Some(last)
-            || earlier.as_ref().is_some_and(|o| o.term == last && o.entry == view.settings.entry);
+        let was_own = earlier.as_ref().is_some_and(|e| e.owner.term == last && e.owner.entry == view.settings.entry);
+        let has_stopped = released == Some(last) || was_own;
+        // A release is recorded only once all earlier schedulers have stopped too.
+        have_all_stopped = released == Some(last)
+            || (was_own
+                && earlier.as_ref().is_some_and(|e| e.have_earlier_stopped && e.owner.incarnation != incarnation));
         let delay = match succession {
             _ if has_stopped => Millis(0),
             Some(Ok(s)) if s.term == last => s.delay_of(&view.settings.peers),
@@ -267,8 +273,9 @@
         incarnation,
         term: count,
     };
-    let has_failed = |peers: &SocketAddr| earlier.as_ref().is_some_and(|o| o.peers == *peers);
+    let has_failed = |peers: &SocketAddr| earlier.as_ref().is_some_and(|e| e.owner.peers == *peers);
     let succession = Succession::choose(count, &view.candidates().unwrap_or_default(), |peers| !has_failed(peers));
+    let last_scheduler = LastScheduler { owner: owner.clone(), have_earlier_stopped: have_all_stopped };
     let change = Change {
         expected: vec![
             (SCHEDULER_KEY.to_owned(), view.scheduler_revision()),
@@ -278,7 +285,7 @@
         puts: vec![
             (SCHEDULER_KEY.to_owned(), records::encode(&owner), Some(lease)),
             (TERM_COUNT_KEY.to_owned(), records::encode(&(count + 1)), None),
-            (LAST_SCHEDULER_KEY.to_owned(), records::encode(&owner), None),
+            (LAST_SCHEDULER_KEY.to_owned(), records::encode(&last_scheduler), None),
             (SUCCESSION_KEY.to_owned(), records::encode(&succession), None),
         ],
         deletes: Vec::new(),
@@ -314,6 +321,9 @@
     let scheduler = Scheduler::new(FencingToken(revision.0), count, view.settings.bounds, policy);
     let term = Term::new(owner, revision, lease, Arc::clone(view), scheduler, succession, may_order_vms_at_once);
     term.record_stored(asked);
+    if have_all_stopped {
+        term.record_previous_stopped();
+    }
     Ok(Attempt::Begun(Box::new(term), earlier))
 }
 
@@ -372,11 +382,32 @@
     }
 }
 
+/// Records in the store that the schedulers before this one have stopped, for the next one: it need not wait if the process
+/// of this one has been replaced. If the write fails, it waits as long as these may act.
+async fn record_earlier_stopped(term: &Term) {
+    if term.owner.term == 0 {
+        return;
+    }
+    let last = LastScheduler { owner: term.owner.clone(), have_earlier_stopped: true };
+    let change = Change {
+        expected: vec![(SCHEDULER_KEY.to_owned(), term.revision)],
+        puts: vec![(LAST_SCHEDULER_KEY.to_owned(), records::encode(&last), None)],
+        deletes: Vec::new(),
+    };
+    match term.view.store.change(&change, STORE_TIMEOUT).await {
+        Ok(ChangeOutcome::Done(_)) => {}
+        answer => {
+            log::info!(term = term.owner.term, answer:? = answer; "the end of earlier schedulers may not be stored; the next scheduler may start tasks later")
+        }
+    }
+}
+
 /// Waits until earlier schedulers have stopped, and reads the revision of the store after that.
 async fn await_previous_stopped(term: Arc<Term>) {
     // A timeout means that earlier schedulers have stopped by themselves.
     let _ = future::timeout(PREVIOUS_TERM_OVERRUN.to_duration(), term.wait_for_previous_stopped()).await;
     term.with(|s| s.record_no_earlier_starts(view::now().mono));
+    record_earlier_stopped(&term).await;
     while !term.is_ended() {
         let stopped = view::now().mono;
         match term.view.store.list(RELEASED_TERM_KEY, STORE_TIMEOUT).await {
--- a/crates/carawaybarrow/src/node/peers.rs
+++ b/crates/carawaybarrow/src/node/peers.rs
@@ -18,7 +18,7 @@
 
 use crate::http_client::{Call, Client};
 use crate::node::election;
-use crate::node::records::{self, Owner};
+use crate::node::records::{self, LastScheduler, Owner};
 use crate::node::term::Term;
 use crate::node::view::View;
 
@@ -53,6 +53,14 @@
     lease: u64,
 }
 
+/// Answer of an entry that is told of a later term.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct BegunAnswer {
+    /// Start of its process in Unix ms; `None` for an entry of an earlier version.
+    #[serde(default)]
+    incarnation: Option<u64>,
+}
+
 /// Request of a stronger entry that the scheduler ends its term.
 #[derive(Debug, Serialize, Deserialize)]
 struct Handover {
@@ -217,8 +225,17 @@
     /// Tells the other entries, and the scheduler of the earlier term, that a later term has begun, until each answers. The
     /// earlier scheduler may have lost the store and not know of the end of its term; it asks entries that may have lost
     /// the store too.
-    pub async fn announce_term(&self, term: &Term, earlier: Option<Owner>) {
-        let earlier = earlier.filter(|o| o.entry != term.owner.entry).map(|o| o.peers);
+    pub async fn announce_term(&self, term: &Term, earlier: Option<LastScheduler>) {
+        let earlier = earlier.filter(|e| e.owner.entry != term.owner.entry);
+        // A process that answers at its address shows that the one of the earlier scheduler has ended, and with it all that
+        // might act, if the schedulers before it had stopped.
+        let is_replaced = |answer: &BegunAnswer| {
+            let replaces = |e: &LastScheduler| answer.incarnation.is_some_and(|i| i != e.owner.incarnation);
+            earlier.as_ref().is_some_and(|e| {
+                e.have_earlier_stopped && e.owner.term.checked_add(1) == Some(term.owner.term) && replaces(e)
+            })
+        };
+        let earlier = earlier.as_ref().map(|e| e.owner.peers);
         let mut peers = self.view.known_entries().unwrap_or_default();
         peers.extend(earlier.filter(|e| !peers.contains(e)));
         // The earlier scheduler comes first, as this one waits until it has stopped.
@@ -230,9 +247,13 @@
             for few in peers.chunks(ANNOUNCED_AT_ONCE) {
                 let answers =
                     futures::future::join_all(few.iter().map(|peer| self.announce_term_to(*peer, term))).await;
-                for (peer, status) in few.iter().zip(answers) {
-                    match status {
-                        Some(ALL_STOPPED) if earlier == Some(*peer) => term.record_previous_stopped(),
+                for (peer, answer) in few.iter().zip(answers) {
+                    match answer {
+                        Some((status, answer)) if earlier == Some(*peer) => {
+                            if status == ALL_STOPPED || is_replaced(&answer) {
+                                term.record_previous_stopped();
+                            }
+                        }
                         Some(_) => {}
                         None => silent.push(*peer),
                     }
@@ -244,11 +265,13 @@
         log::info!(term = term.owner.term, entries = count, silent = peers.len(); "term announced");
     }
 
-    /// Returns the status that the entry answered.
-    async fn announce_term_to(&self, peer: SocketAddr, term: &Term) -> Option<u16> {
+    /// Returns the status and what the entry says of itself.
+    async fn announce_term_to(&self, peer: SocketAddr, term: &Term) -> Option<(u16, BegunAnswer)> {
         let call = Call::new(Method::Post, format!("/terms/{}/begun", term.owner.term));
         let reply = future::timeout(ANSWER_TIMEOUT, self.client.call(peer, &call, ANSWER_TIMEOUT)).await;
-        Some(reply.ok()?.ok()?.status)
+        let reply = reply.ok()?.ok()?;
+        // Entries of earlier versions send no body.
+        Some((reply.status, reply.json().unwrap_or_default()))
     }
 
     /// State of a job; `None` if the scheduler doesn't know it or gives no answer.
@@ -393,7 +416,9 @@
     // The scheduler before the one of this entry may still act if that one's term was short. Terms are numbered without
     // gaps.
     let has_stopped = begun.checked_sub(1).is_some_and(|term| view.has_stopped_with_earlier(term));
-    Ok(Response::new(if has_stopped { StatusCode::Ok } else { StatusCode::Accepted }))
+    let mut res = json_response(&BegunAnswer { incarnation: Some(view.incarnation) });
+    res.set_status(if has_stopped { StatusCode::Ok } else { StatusCode::Accepted });
+    Ok(res)
 }
 
 async fn get_queue(req: Request<Arc<View>>) -> tide::Result {
--- a/crates/carawaybarrow/src/node/records.rs
+++ b/crates/carawaybarrow/src/node/records.rs
@@ -119,6 +119,17 @@
     pub term: u32,
 }
 
+/// The scheduler of the last term.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LastScheduler {
+    /// The entry and its term.
+    #[serde(flatten)]
+    pub owner: Owner,
+    /// Whether all schedulers before it are known to have stopped. They have if only its own process may still act.
+    #[serde(default)]
+    pub have_earlier_stopped: bool,
+}
+
 /// A worker of the stored recovery set.
 #[derive(Debug, Serialize, Deserialize)]
 struct RecoverySetRow {
--- a/crates/carawaybarrow/src/node/run.rs
+++ b/crates/carawaybarrow/src/node/run.rs
@@ -71,7 +71,7 @@
     let incarnation = clock::wall_now().0;
     log::info!(entry:% = settings.entry, data_centre:% = settings.data_centre, incarnation = incarnation; "starting");
     let metrics = Arc::new(NodeMetrics::new()?);
-    let view = Arc::new(View::new(settings.clone(), Arc::clone(&metrics)));
+    let view = Arc::new(View::new(settings.clone(), Arc::clone(&metrics), incarnation));
     let scheduler_client = Arc::new(SchedulerClient::new(Arc::clone(&view), &settings.entry));
 
     let key_writer = Arc::new(StoreKeyWriter::new(Arc::clone(&view), &settings.entry));
@@ -101,7 +101,7 @@
     let caller_server = http_server::listen_with(settings.callers, caller_app, caller_limits(&view)).await?;
 
     task::spawn(members::run(Arc::clone(&view)));
-    let election = task::spawn(election::run(Arc::clone(&view), scheduler_client, incarnation));
+    let election = task::spawn(election::run(Arc::clone(&view), scheduler_client));
     // The sender lives as long as the process, so `recv` doesn't fail.
     while let Ok(signal) = signals.recv().await {
         if signal != SIGHUP {
--- a/crates/carawaybarrow/src/node/view.rs
+++ b/crates/carawaybarrow/src/node/view.rs
@@ -74,6 +74,8 @@
 pub struct View {
     /// Settings of the entry.
     pub settings: Settings,
+    /// Start of the process in Unix ms, which distinguishes the incarnations of an entry.
+    pub incarnation: u64,
     /// Client of the store.
     pub store: StoreClient,
     /// Metrics of the entry.
@@ -94,10 +96,11 @@
 impl View {
     /// Creates a view in which nothing is known yet.
     #[must_use]
-    pub fn new(settings: Settings, metrics: Arc<NodeMetrics>) -> Self {
+    pub fn new(settings: Settings, metrics: Arc<NodeMetrics>, incarnation: u64) -> Self {
         let store = StoreClient::new(settings.store, &settings.entry);
         Self {
             settings,
+            incarnation,
             store,
             metrics,
             probed: RwLock::default(),
--- a/crates/carawaybarrow/src/node/worker_polls.rs
+++ b/crates/carawaybarrow/src/node/worker_polls.rs
@@ -5,6 +5,7 @@
 
 use async_std::task;
 use carawaybarrow_core::sched::graph::WorkerKey;
+use carawaybarrow_core::sched::scheduler::Scheduler;
 use carawaybarrow_platform::workers::PollOutcome;
 
 use crate::node::term::Term;
@@ -39,13 +40,14 @@
             Some((poll, s.worker(&worker)?.report.address, s.token()))
         });
         let Some((poll, address, token)) = next else { return };
+        let mut has_ends = false;
         match term.workers.poll(address, &worker, poll, token, POLL_TIMEOUT).await {
             Ok(PollOutcome::Lists(lists)) => {
                 if is_lost {
                     is_lost = false;
                     log::info!(worker:% = worker; "worker regained");
                 }
-                let has_ends = !lists.ended.is_empty();
+                has_ends = !lists.ended.is_empty();
                 let is_first_answer = term.with(|s| {
                     let is_first_answer = s.worker(&worker).is_some_and(|w| !w.refuses_earlier_terms);
                     s.apply_lists(view::now(), &worker, sent, lists);
@@ -77,7 +79,12 @@
             }
         }
         for _ in 0..STORED_CHECKS {
-            if !term.with(|s| s.worker(&worker).is_some_and(|w| w.has_unstored_ends())) {
+            // A worker answers at once while it lists ends, so one that has to keep them is not polled at once.
+            let must_keep_ends = |s: &Scheduler| {
+                let keeps_stored = has_ends && !s.may_discard_ends();
+                keeps_stored || s.worker(&worker).is_some_and(|w| w.has_unstored_ends())
+            };
+            if !term.with(|s| must_keep_ends(s)) {
                 break;
             }
             task::sleep(STORED_CHECK_INTERVAL).await;
--- a/crates/core/src/sched/answers.rs
+++ b/crates/core/src/sched/answers.rs
@@ -16,7 +16,8 @@
         self.last_wall = now.wall;
         let lease = self.lease_length();
         let Some(worker) = self.workers.get_mut(key) else { return };
-        if worker.update_clock(now.mono, lists.clock, lists.incarnation) {
+        let has_restarted = worker.update_clock(now.mono, lists.clock, lists.incarnation);
+        if has_restarted {
             self.events.push(Event::WorkerRestarted { worker: key.clone() });
             // A start without an answer may still be executed by the new incarnation, which has the same id. One that was
             // answered after the poll was sent may be on it already.
@@ -45,8 +46,8 @@
             is_first_answer = !worker.refuses_earlier_terms;
             worker.is_gone = false;
             worker.may_return = false;
-            if !worker.refuses_earlier_terms {
-                // Until this answer, the previous scheduler may have extended the worker's lease.
+            if !worker.refuses_earlier_terms || has_restarted {
+                // Until this answer of its incarnation, the previous scheduler may have extended the worker's lease.
                 worker.assume_lease(now.mono, lease);
             }
             worker.last_answer = Some(now.mono);
--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -201,6 +201,13 @@
         self.check_reconciled(now);
     }
 
+    /// Whether workers may discard ends that are stored. While an earlier scheduler may act, it may start a task again on a
+    /// worker that restarts. That is a second run only if the end of the first one was taken note of.
+    #[must_use]
+    pub const fn may_discard_ends(&self) -> bool {
+        self.previous_stopped_at.is_some() || self.is_reconciled
+    }
+
     /// Whether the answer to a poll that was sent at a time shows all runs that earlier schedulers have started there.
     pub(super) fn shows_earlier_runs(&self, sent: MonoTime) -> bool {
         self.previous_stopped_at.is_none_or(|at| sent >= at)
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -16,7 +16,7 @@
 use crate::sched::progress::{JobState, Progress};
 use crate::sched::recovery::QueuePools;
 use crate::sched::share::TokenBucket;
-use crate::sched::worker::{MAX_IDLE_WAIT, MAX_WAIT, Worker};
+use crate::sched::worker::{MAX_IDLE_WAIT, MAX_WAIT, MAX_WAIT_DURING_TAKEOVER, Worker};
 use crate::sched::writes::WriteQueue;
 use crate::units::{Millis, MonoTime, WallTime};
 
@@ -368,8 +368,12 @@
     /// Next poll of a worker. Returns `None` if the worker is no longer known; its polls must end then. Should it become
     /// known again, [`Self::take_unpolled`] returns it.
     pub fn start_poll(&mut self, now: MonoTime, key: &WorkerKey) -> Option<Poll> {
+        if now >= self.previous_stops_by {
+            self.record_no_earlier_starts(now);
+        }
         let lease = self.lease_length();
         let is_confirmed = self.is_confirmed(now);
+        let may_discard_ends = self.may_discard_ends();
         let Some(worker) = self.workers.get_mut(key) else {
             self.polled.remove(key);
             return None;
@@ -385,11 +389,12 @@
             false if worker.runs.is_empty() => MAX_IDLE_WAIT,
             false => MAX_WAIT,
         };
-        if !self.is_reconciled && self.previous_stopped_at.is_none() && now < self.previous_stops_by {
-            // The next poll is sent once earlier schedulers have stopped, as its answer shows what they started.
-            wait = wait.min(self.previous_stops_by.since(now));
+        if !self.is_reconciled && self.previous_stopped_at.is_none() {
+            // Only the answer to a poll that is sent once earlier schedulers have stopped shows what they started.
+            wait = wait.min(self.previous_stops_by.since(now)).min(MAX_WAIT_DURING_TAKEOVER);
         }
-        Some(Poll { lease_until, durable_end: worker.begin_discard(), wait })
+        let durable_end = if may_discard_ends { worker.begin_discard() } else { 0 };
+        Some(Poll { lease_until, durable_end, wait })
     }
 
     /// Records that a poll got no answer, and whether the connection was refused. The worker may have restarted under
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -421,6 +421,9 @@
 /// Maximum time for which a poll waits for a run to end. The lease is extended at least this often.
 pub const MAX_WAIT: Millis = Millis(500);
 
+/// Maximum time for which a poll waits until earlier schedulers are known to have stopped, which may show at any time.
+pub const MAX_WAIT_DURING_TAKEOVER: Millis = Millis(250);
+
 /// Maximum time for which a poll of a worker without runs waits. It is shorter than [`SILENCE_LIMIT`], so that the worker
 /// stays reachable.
 pub const MAX_IDLE_WAIT: Millis = Millis(1_000);
--- a/crates/core/tests/sched/overlap.rs
+++ b/crates/core/tests/sched/overlap.rs
@@ -4,6 +4,7 @@
 use carawaybarrow_core::sched::graph::{JobKey, WorkerKey};
 use carawaybarrow_core::sched::order::Order;
 use carawaybarrow_core::sched::progress::{JobRecord, JobState};
+use carawaybarrow_core::sched::recovery::PREVIOUS_TERM_OVERRUN;
 use carawaybarrow_core::units::{MonoTime, WallTime};
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
@@ -75,7 +76,7 @@
 fn end_of_a_deleted_job_is_discarded() {
     let mut model = started_by_previous(200);
     model.store.jobs.clear();
-    model.run_for(1_000);
+    model.run_for(PREVIOUS_TERM_OVERRUN.0 + 1_000);
     assert!(model.workers.values().all(|w| w.ends.is_empty()));
 }
 
--- a/crates/core/tests/sched/restarts.rs
+++ b/crates/core/tests/sched/restarts.rs
@@ -332,3 +332,49 @@
     model.run_for(2 * STEP_MS);
     assert_eq!(model.count_running(), 1);
 }
+
+/// Lets the present scheduler take over a task that has ended, and the previous one poll the worker after a restart.
+/// Checks that no end is lost or counted twice.
+#[test]
+fn end_is_kept_by_its_worker_until_earlier_schedulers_have_stopped() {
+    let mut model = Model::new(1);
+    model.run_for(SETTLING_MS);
+    model.accept("j", job(vec![step(1, 1_000)]));
+    model.run_for(300);
+    model.replace_scheduler_unnoticed();
+    model.run_for(1_000);
+    assert_eq!(model.worker_mut(0).ends.len(), 1, "a scheduler that has not stopped may start the task again");
+    let key = report(0).key;
+    model.worker_mut(0).restart();
+    model.run_previous(&key);
+    model.check_invariants();
+    model.run_for(PREVIOUS_TERM_OVERRUN.0 + 2_000);
+    assert_eq!(model.state("j"), Some(JobState::Completed));
+    assert_eq!(model.worker_mut(0).ends, [], "the ends of the new incarnation are discarded");
+}
+
+/// Guards against a task that runs twice because its lease counts as lapsed: an earlier scheduler has started it on a
+/// worker that had restarted, and the present one has not extended the lease there.
+#[test]
+fn restarted_worker_has_the_lease_that_an_earlier_scheduler_may_have_granted() {
+    let mut model = Model::new(2);
+    model.work_ms = 20_000;
+    model.run_for(SETTLING_MS);
+    model.replace_scheduler_unnoticed();
+    model.poll_all();
+    model.accept_unannounced("j", job(vec![step(1, 1_000)]));
+    let key = report(0).key;
+    model.scheduler.set_cordoned(&key, true);
+    model.announce("j");
+    model.worker_mut(0).restart();
+    model.run_previous(&key);
+    assert_eq!(model.worker_mut(0).runs.len(), 1, "the previous scheduler has started the task");
+    // A silent worker gets no extension with the poll that shows its restart.
+    model.now += 1_500;
+    model.poll(&key);
+    model.worker_mut(0).is_partitioned = true;
+    for _ in 0..80 {
+        model.run_for(STEP_MS);
+        model.check_invariants();
+    }
+}
