Bound what callers that nobody controls can use

What they sent: bodies in chunks that stop just short of their end and stay open, heads and empty lines without end, and many connections.

Cause: the server took any number of connections, kept a body for as long as its client liked, and read a header without a line end, by its library, until the timeout of the header, whatever its length.

The server reads requests itself, with httparse for heads and sizes of chunks: a head of at most 16 KiB as the configuration allows (8 KiB before), a body within 30 s, and memory that grows as bytes arrive and is reserved from a budget of all requests. Connections have a budget too. When one is used up, the connection gives way that has waited longest for the end of a request, of the address that uses more than half if there is one; a request that has arrived whole never does. If all are being served, the request gets 503 with Retry-After, which is true, as it has not run. Closed connections are counted by reason, and logged once a second at most.

--- a/crates/carawaybarrow/src/lib.rs
+++ b/crates/carawaybarrow/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cli;
 pub mod cli_reports;
 pub mod clock;
+pub mod closed_connections;
 pub mod command_apply;
 pub mod command_job;
 pub mod command_key;
--- a/crates/carawaybarrow/src/metrics.rs
+++ b/crates/carawaybarrow/src/metrics.rs
@@ -81,6 +81,7 @@
     _provider: SdkMeterProvider,
     answers: Counter<u64>,
     retries: Counter<u64>,
+    closed_connections: Counter<u64>,
     store_calls: Counter<u64>,
     peer_calls: Counter<u64>,
     ledger_lines: Counter<u64>,
@@ -107,6 +108,10 @@
         Ok(Self {
             answers: meter.u64_counter("carawaybarrow_answers").with_description("Answers to submitted jobs").build(),
             retries: meter.u64_counter("carawaybarrow_retries").with_description("Attempts after the first").build(),
+            closed_connections: meter
+                .u64_counter("carawaybarrow_connections_closed")
+                .with_description("Connections of callers that were closed or refused, by reason")
+                .build(),
             store_calls: meter.u64_counter("carawaybarrow_store_calls").with_description("Calls to the store").build(),
             peer_calls: meter.u64_counter("carawaybarrow_peer_calls").with_description("Calls to peers").build(),
             ledger_lines: meter
@@ -202,6 +207,11 @@
         self.fresh.record(u64::from(fresh), &[]);
     }
 
+    /// Counts connections of callers that were closed or refused.
+    pub fn count_closed_connections(&self, reason: &'static str, count: u64) {
+        self.closed_connections.add(count, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Renders all metrics as Prometheus text; empty if they can't be encoded.
     #[must_use]
     pub fn render(&self) -> String {
--- a/crates/carawaybarrow/src/node/metrics.rs
+++ b/crates/carawaybarrow/src/node/metrics.rs
@@ -23,6 +23,7 @@
     store: Histogram<f64>,
     runs: Counter<u64>,
     evacuations: Counter<u64>,
+    closed_connections: Counter<u64>,
     term: Gauge<u64>,
     version: Gauge<u64>,
     proof_age: Gauge<u64>,
@@ -54,6 +55,10 @@
                 .u64_counter("carawaybarrow_evacuation_changes")
                 .with_description("Evacuations of data centres that began or ended")
                 .build(),
+            closed_connections: meter
+                .u64_counter("carawaybarrow_connections_closed")
+                .with_description("Connections of callers that were closed or refused, by reason")
+                .build(),
             term: meter
                 .u64_gauge("carawaybarrow_term_token")
                 .with_description("Token while this node schedules, or 0")
@@ -97,6 +102,11 @@
         self.evacuations.add(1, &[KeyValue::new("change", change)]);
     }
 
+    /// Counts connections of callers that were closed or refused.
+    pub fn count_closed_connections(&self, reason: &'static str, count: u64) {
+        self.closed_connections.add(count, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Sets the fencing token of this entry's term; 0 if it doesn't schedule.
     pub fn set_token(&self, token: u64) {
         self.term.record(token, &[]);
--- a/crates/carawaybarrow/src/node/run.rs
+++ b/crates/carawaybarrow/src/node/run.rs
@@ -12,6 +12,7 @@
 use tide::{Response, StatusCode};
 
 use crate::clock;
+use crate::closed_connections;
 use crate::http_server::{self, Limits};
 use crate::metrics::MetricsError;
 use crate::node::callers::{self, CallerApi};
@@ -98,7 +99,13 @@
     let mut caller_app =
         tide::with_state(CallerApi { view: Arc::clone(&view), scheduler: Arc::clone(&scheduler_client), key_writer });
     callers::add_routes(&mut caller_app);
-    let caller_server = http_server::listen_with(settings.callers, caller_app, caller_limits(&view)).await?;
+    let caller_server =
+        http_server::listen_with(settings.callers, caller_app, caller_limits(&view), settings.connection_limits)
+            .await?;
+    let counter = Arc::clone(&metrics);
+    task::spawn(closed_connections::watch(caller_server.clone(), move |reason, count| {
+        counter.count_closed_connections(reason, count);
+    }));
 
     task::spawn(members::run(Arc::clone(&view)));
     let election = task::spawn(election::run(Arc::clone(&view), scheduler_client));
@@ -128,9 +135,11 @@
     let view = Arc::clone(view);
     Arc::new(move || match view.configuration().map(|c| c.limits) {
         Some(limits) => Limits {
+            header_bytes: limits.header_bytes,
             body_bytes: limits.body_bytes,
             header_timeout: limits.header_timeout.to_duration(),
             idle_timeout: limits.idle_timeout.to_duration(),
+            ..Limits::new(limits.body_bytes)
         },
         None => Limits::new(CALLER_BODY_BYTES),
     })
--- a/crates/carawaybarrow/src/serve.rs
+++ b/crates/carawaybarrow/src/serve.rs
@@ -10,6 +10,7 @@
 use signal_hook::iterator::Signals;
 use snafu::{ResultExt, Snafu};
 
+use crate::closed_connections;
 use crate::entry::{Addresses, Entry, Platform};
 use crate::http_client::Client;
 use crate::http_server::{self, Limits};
@@ -73,7 +74,12 @@
     admin::add_routes(&mut app);
     reports::add_routes(&mut app);
     explain::add_routes(&mut app);
-    let http = http_server::listen(callers, app, Limits::new(settings.body_bytes)).await?;
+    let limits = Limits::new(settings.body_bytes);
+    let http = http_server::listen_with(callers, app, Arc::new(move || limits), settings.connection_limits()).await?;
+    let counter = Arc::clone(&metrics);
+    task::spawn(closed_connections::watch(http.clone(), move |reason, count| {
+        counter.count_closed_connections(reason, count);
+    }));
     let peers = peer::serve(peer_server, Arc::clone(&entry));
     let addresses = Addresses { callers: http.address(), peers: peer_address };
     // Scripts read this line to detect that the servers are listening, and to find their addresses.
--- a/crates/carawaybarrow/src/settings.rs
+++ b/crates/carawaybarrow/src/settings.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use carawaybarrow_core::connections::ConnectionLimits;
 use carawaybarrow_core::finding::Findings;
 use carawaybarrow_core::ids::{DataCentreId, EntryId, OperatorId};
 use carawaybarrow_core::keys::KeyHash;
@@ -18,6 +19,13 @@
 /// Bounds and default of the largest accepted request body, in bytes.
 const BODY_BYTES: (u64, u64, u64) = (1024, 1_000_000, 1_000_000);
 
+/// Bounds and default of the number of connections of callers. The default leaves half of 4,096 descriptors to entries,
+/// the store and VMs.
+const MAX_CONNECTIONS: (u64, u64, u64) = (32, 1_000_000, 2_048);
+
+/// Bounds and default of the memory for requests of callers, in MB.
+const REQUEST_MEMORY_MB: (u64, u64, u64) = (2, 65_536, 64);
+
 /// Bounds and default of the outage limit; the default covers an outage of an hour with a margin.
 const OUTAGE_LIMIT: (Millis, Millis, Millis) =
     (Millis::from_secs(10), Millis::from_secs(6 * 3600), Millis::from_secs(75 * 60));
@@ -78,6 +86,10 @@
     pub job_shards: u16,
     /// Largest accepted request body in bytes.
     pub body_bytes: u64,
+    /// Maximum number of open connections of callers.
+    pub max_connections: u64,
+    /// Maximum memory of all requests that are being received or served, in MB.
+    pub request_memory_mb: u64,
     /// How long keyed work continues while no entry reaches the store.
     pub outage_limit: Millis,
     /// How long the answer of a durable job is kept after its end; less if its shard is crowded.
@@ -101,6 +113,16 @@
         Self::parse(&text)
     }
 
+    /// Limits for the connections of callers.
+    #[must_use]
+    pub fn connection_limits(&self) -> ConnectionLimits {
+        let to_usize = |n: u64| usize::try_from(n).unwrap_or(usize::MAX);
+        ConnectionLimits {
+            connections: to_usize(self.max_connections),
+            request_bytes: to_usize(self.request_memory_mb << 20),
+        }
+    }
+
     /// Reads settings from JSON with comments.
     ///
     /// # Errors
@@ -142,6 +164,8 @@
     let operators = read_operators(reader);
     let job_shards = reader.read_number("job_shards", JOB_SHARDS);
     let body_bytes = reader.read_number("body_bytes", BODY_BYTES);
+    let max_connections = reader.read_number("max_connections", MAX_CONNECTIONS);
+    let request_memory_mb = reader.read_number("request_memory_mb", REQUEST_MEMORY_MB);
     let outage_limit = reader.read_duration("outage_limit", OUTAGE_LIMIT);
     let answer_retention = reader.read_duration("answer_retention", ANSWER_RETENTION);
     let drain_delay = reader.read_duration("drain_delay", DRAIN_DELAY);
@@ -157,6 +181,8 @@
         operators,
         job_shards: u16::try_from(job_shards?).ok()?,
         body_bytes: body_bytes?,
+        max_connections: max_connections?,
+        request_memory_mb: request_memory_mb?,
         outage_limit: outage_limit?,
         answer_retention: answer_retention?,
         drain_delay: drain_delay?,
--- a/crates/carawaybarrow/tests/installation/mod.rs
+++ b/crates/carawaybarrow/tests/installation/mod.rs
@@ -105,6 +105,11 @@
         assert!(status.is_ok(), "the signal can be sent");
     }
 
+    /// Id of the process, if it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Whether the process runs.
     pub fn is_running(&mut self) -> bool {
         self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
@@ -147,6 +152,11 @@
 
     /// Starts an installation without the processes of the entries from index `started` on.
     pub async fn start_first(seed: u64, size: Size, started: u8) -> Self {
+        Self::start_with_limits(seed, size, started, "").await
+    }
+
+    /// Starts an installation with further settings of the VMs' limits.
+    pub async fn start_with_limits(seed: u64, size: Size, started: u8, limits: &str) -> Self {
         let store = Store::default();
         let (address, handle) = store.serve().await.expect("a port for the store");
         let (fleet, handles) = Fleet::start(&store, POOL, size.workers).await.expect("ports for the workers");
@@ -177,7 +187,8 @@
             let settings = folder.join(format!("e{entry_index}.toml"));
             // The first entry is weaker, so it delays takeovers and hands over its terms.
             let cpu_share = if entry_index == 0 { 0.1 } else { 0.25 };
-            let mut text = entry_settings(&format!("e{entry_index}"), ip, store_proxy.address(), cpu_share);
+            let mut text = entry_settings(&format!("e{entry_index}"), ip, store_proxy.address(), cpu_share)
+                .replace("[limits]\n", &format!("[limits]\n{limits}"));
             if let Some(address) = vm_api {
                 text.push_str(&vm_api_settings(address));
             }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod commit;
 pub mod config;
 pub mod confirmation;
+pub mod connections;
 pub mod deadline;
 mod draft;
 pub mod estimate;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod server;
 
 mod message;
+mod request;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,22 +1,25 @@
 //! HTTP server with graceful shutdown: requests in progress are completed.
 
-use std::net::{Shutdown, SocketAddr};
+use std::net::{IpAddr, Shutdown, SocketAddr};
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use async_h1::server;
-use async_std::channel;
+use async_h1::server::Encoder;
 use async_std::net::{TcpListener, TcpStream};
-use async_std::task;
+use async_std::{channel, io, task};
+use carawaybarrow_core::connections::{ConnectionId, ConnectionLimits, Connections, Grant};
+use carawaybarrow_core::units::MonoTime;
 use carawaybarrow_core::{Findings, Map};
+use futures::FutureExt;
 use futures::future::{self, Either};
-use futures::{AsyncReadExt, FutureExt};
-use http_types::{Request, Response, StatusCode};
+use http_types::{Method, Request, Response, StatusCode};
 use serde_json::json;
 use snafu::{ResultExt, Snafu};
 
+use crate::request::{Memory, RequestError, RequestReader};
+
 /// Interval at which a server that shuts down checks whether its connections have ended; also the delay after a failed
 /// accept.
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -25,13 +28,30 @@
 /// already opened the connection and may be sending a request, which must be answered.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time for which a request that began before the shutdown of its server may still arrive.
+const LAST_REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time in which a client has to read a response.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Time for which a connection that is closed after an error still reads, so that the client can read the response
+/// although it goes on sending.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Seconds after which a client should retry a request for which there was no memory.
+const RETRY_AFTER_SECS: u32 = 1;
+
 /// Size and time limits for requests.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
+    /// Maximum length of the head of a request in bytes, with the empty lines before it.
+    pub header_bytes: usize,
     /// Maximum length of a request body in bytes.
     pub body_bytes: u64,
     /// Time after the first byte of a request in which its header has to arrive.
     pub header_timeout: Duration,
+    /// Time after its header in which the body of a request has to arrive.
+    pub body_timeout: Duration,
     /// Time without a request after which a connection is closed.
     pub idle_timeout: Duration,
 }
@@ -41,7 +61,13 @@
     /// that the client stops using a connection before the server closes it.
     #[must_use]
     pub const fn new(body_bytes: u64) -> Self {
-        Self { body_bytes, header_timeout: Duration::from_secs(10), idle_timeout: Duration::from_secs(60) }
+        Self {
+            header_bytes: 16 * 1024,
+            body_bytes,
+            header_timeout: Duration::from_secs(10),
+            body_timeout: Duration::from_secs(30),
+            idle_timeout: Duration::from_secs(60),
+        }
     }
 }
 
@@ -56,58 +82,166 @@
     source: std::io::Error,
 }
 
+/// Why a server has closed a connection before its client did, or refused a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseReason {
+    /// Another connection took its place.
+    ConnectionLimit,
+    /// Another request took its memory, or there was none for its own.
+    MemoryLimit,
+    /// The header did not arrive in time.
+    LateHeader,
+    /// The body did not arrive in time.
+    LateBody,
+    /// The header is too long.
+    LongHeader,
+    /// The body is too long.
+    LongBody,
+    /// The request is not valid HTTP.
+    Malformed,
+    /// The client did not read a response in time.
+    LateResponse,
+}
+
+impl CloseReason {
+    /// All reasons, in the order of their declaration.
+    const ALL: [Self; 8] = [
+        Self::ConnectionLimit,
+        Self::MemoryLimit,
+        Self::LateHeader,
+        Self::LateBody,
+        Self::LongHeader,
+        Self::LongBody,
+        Self::Malformed,
+        Self::LateResponse,
+    ];
+
+    /// Name in metrics and logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::ConnectionLimit => "connection_limit",
+            Self::MemoryLimit => "memory_limit",
+            Self::LateHeader => "late_header",
+            Self::LateBody => "late_body",
+            Self::LongHeader => "long_header",
+            Self::LongBody => "long_body",
+            Self::Malformed => "malformed",
+            Self::LateResponse => "late_response",
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Connection {
     stream: TcpStream,
-    /// Whether a request is in progress.
-    busy: Arc<AtomicBool>,
+    /// Whether a whole request has arrived that is not answered.
+    is_served: bool,
     opened_at: Instant,
+    /// Time at which the first byte of a request that has not arrived whole did.
+    receiving_since: Option<Instant>,
     /// Whether a request has been received.
-    received_request: Arc<AtomicBool>,
+    has_received: bool,
 }
 
 impl Connection {
     fn is_idle(&self) -> bool {
-        let awaits_first =
-            !self.received_request.load(Ordering::SeqCst) && self.opened_at.elapsed() < FIRST_REQUEST_TIMEOUT;
-        !self.busy.load(Ordering::SeqCst) && !awaits_first
+        let awaits_first = !self.has_received && self.opened_at.elapsed() < FIRST_REQUEST_TIMEOUT;
+        let receives = self.receiving_since.is_some_and(|since| since.elapsed() < LAST_REQUEST_TIMEOUT);
+        !self.is_served && !awaits_first && !receives
+    }
+}
+
+/// Open connections and what they may use.
+#[derive(Debug)]
+struct State {
+    connections: Map<ConnectionId, Connection>,
+    budget: Connections,
+}
+
+impl State {
+    /// Closes connections that give way. Their tasks end once they notice.
+    fn close(&mut self, ids: &[ConnectionId]) {
+        for connection in ids.iter().filter_map(|id| self.connections.remove(id)) {
+            // An error means that the peer has closed the connection.
+            drop(connection.stream.shutdown(Shutdown::Both));
+        }
     }
 }
 
 /// Open connections and number of requests in progress.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Tracker {
     stopping: AtomicBool,
-    next_id: AtomicU64,
     requests: AtomicUsize,
-    connections: Mutex<Map<u64, Connection>>,
+    began: Instant,
+    state: Mutex<State>,
+    closed: [AtomicU64; CloseReason::ALL.len()],
 }
 
 impl Tracker {
+    fn new(limits: ConnectionLimits) -> Self {
+        Self {
+            stopping: AtomicBool::new(false),
+            requests: AtomicUsize::new(0),
+            began: Instant::now(),
+            state: Mutex::new(State { connections: Map::default(), budget: Connections::new(limits) }),
+            closed: Default::default(),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no thread panics while holding the lock")
+    }
+
+    fn now(&self) -> MonoTime {
+        MonoTime(u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX))
+    }
+
     fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::SeqCst)
     }
 
-    fn add(&self, stream: TcpStream) -> (u64, Arc<AtomicBool>, Arc<AtomicBool>) {
-        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
-        let (busy, received_request) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+    fn count_closed(&self, reason: CloseReason, count: usize) {
+        self.closed[reason as usize].fetch_add(count as u64, Ordering::Relaxed);
+    }
+
+    /// Adds a connection; `None` if it must be closed.
+    fn open(&self, stream: &TcpStream, address: IpAddr) -> Option<ConnectionId> {
+        let mut state = self.state();
+        let (id, grant) = state.budget.open(self.now(), address);
+        let Grant::Granted(victims) = grant else {
+            self.count_closed(CloseReason::ConnectionLimit, 1);
+            return None;
+        };
+        self.count_closed(CloseReason::ConnectionLimit, victims.len());
+        state.close(&victims);
         let connection = Connection {
-            stream,
-            busy: Arc::clone(&busy),
+            stream: stream.clone(),
+            is_served: false,
             opened_at: Instant::now(),
-            received_request: Arc::clone(&received_request),
+            receiving_since: None,
+            has_received: false,
         };
-        self.connections.lock().expect("no thread panics while holding the lock").insert(id, connection);
-        (id, busy, received_request)
+        state.connections.insert(id, connection);
+        Some(id)
     }
 
-    fn remove(&self, id: u64) {
-        self.connections.lock().expect("no thread panics while holding the lock").remove(&id);
+    fn remove(&self, id: ConnectionId) {
+        let mut state = self.state();
+        state.connections.remove(&id);
+        state.budget.close(id);
+    }
+
+    fn change(&self, id: ConnectionId, change: impl FnOnce(&mut Connection)) {
+        if let Some(connection) = self.state().connections.get_mut(&id) {
+            change(connection);
+        }
     }
 
     /// Shuts down the reading side of idle connections; a request that was already received is still served.
     fn close_idle(&self) {
-        for connection in self.connections.lock().expect("no thread panics while holding the lock").values() {
+        for connection in self.state().connections.values() {
             if connection.is_idle() {
                 // An error means that the peer has closed the connection.
                 drop(connection.stream.shutdown(Shutdown::Read));
@@ -116,7 +250,27 @@
     }
 
     fn is_empty(&self) -> bool {
-        self.connections.lock().expect("no thread panics while holding the lock").is_empty()
+        self.state().connections.is_empty()
+    }
+}
+
+/// Budget for the request of one connection.
+struct RequestMemory<'a> {
+    tracker: &'a Tracker,
+    id: ConnectionId,
+}
+
+impl Memory for RequestMemory<'_> {
+    fn reserve(&self, bytes: usize) -> bool {
+        let mut state = self.tracker.state();
+        match state.budget.reserve(self.id, bytes) {
+            Grant::Granted(victims) => {
+                self.tracker.count_closed(CloseReason::MemoryLimit, victims.len());
+                state.close(&victims);
+                true
+            }
+            Grant::Refused => false,
+        }
     }
 }
 
@@ -145,7 +299,19 @@
     /// Number of open connections.
     #[must_use]
     pub fn connections(&self) -> usize {
-        self.tracker.connections.lock().expect("no thread panics while holding the lock").len()
+        self.tracker.state().connections.len()
+    }
+
+    /// Memory of all requests that are being received or served, in bytes.
+    #[must_use]
+    pub fn request_bytes(&self) -> usize {
+        self.tracker.state().budget.bytes()
+    }
+
+    /// Number of connections that the server has closed, or whose request it has refused, by reason.
+    #[must_use]
+    pub fn closed(&self) -> [(CloseReason, u64); CloseReason::ALL.len()] {
+        CloseReason::ALL.map(|reason| (reason, self.tracker.closed[reason as usize].load(Ordering::Relaxed)))
     }
 
     /// Starts a graceful shutdown: each response from now on closes its connection, so that clients use another server.
@@ -165,7 +331,7 @@
     }
 }
 
-/// Starts serving an application with fixed limits.
+/// Starts serving an application with fixed limits for requests, and none for connections.
 ///
 /// # Errors
 ///
@@ -174,10 +340,10 @@
 where
     S: Clone + Send + Sync + 'static,
 {
-    listen_with(address, app, Arc::new(move || limits)).await
+    listen_with(address, app, Arc::new(move || limits), ConnectionLimits::NONE).await
 }
 
-/// Starts serving an application with limits that may change.
+/// Starts serving an application with limits for requests, which may change, and limits for connections.
 ///
 /// # Errors
 ///
@@ -186,6 +352,7 @@
     address: SocketAddr,
     app: tide::Server<S>,
     limits: LimitSource,
+    connection_limits: ConnectionLimits,
 ) -> Result<Handle, ListenError>
 where
     S: Clone + Send + Sync + 'static,
@@ -193,7 +360,7 @@
     let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
     let address = listener.local_addr().context(ListenSnafu { address })?;
     let (stop_sender, stop_receiver) = channel::bounded(1);
-    let handle = Handle { address, tracker: Arc::default(), stop_sender };
+    let handle = Handle { address, tracker: Arc::new(Tracker::new(connection_limits)), stop_sender };
     task::spawn(accept_connections(listener, stop_receiver, app, limits, Arc::clone(&handle.tracker)));
     Ok(handle)
 }
@@ -217,49 +384,75 @@
                 None => return,
             },
         };
-        let Ok((stream, _)) = accepted else {
+        let Ok((stream, peer)) = accepted else {
             // Accept fails if there are no free file descriptors, for example; the delay lets connections end.
             task::sleep(SHUTDOWN_POLL_INTERVAL).await;
             continue;
         };
         // With Nagle's algorithm, the second segment of a response would wait for the delayed acknowledgement of the
         // first one.
-        if stream.set_nodelay(true).is_ok() {
-            task::spawn(serve_connection(stream, app.clone(), Arc::clone(&limits), Arc::clone(&tracker)));
+        if stream.set_nodelay(true).is_ok()
+            && let Some(id) = tracker.open(&stream, peer.ip())
+        {
+            task::spawn(serve_connection(stream, id, app.clone(), Arc::clone(&limits), Arc::clone(&tracker)));
         }
     }
 }
 
-async fn serve_connection<S>(stream: TcpStream, app: tide::Server<S>, limits: LimitSource, tracker: Arc<Tracker>)
-where
+async fn serve_connection<S>(
+    stream: TcpStream,
+    id: ConnectionId,
+    app: tide::Server<S>,
+    limits: LimitSource,
+    tracker: Arc<Tracker>,
+) where
     S: Clone + Send + Sync + 'static,
 {
-    let (id, busy, received_request) = tracker.add(stream.clone());
-    let handler = |req: Request| {
-        busy.store(true, Ordering::SeqCst);
-        received_request.store(true, Ordering::SeqCst);
-        tracker.requests.fetch_add(1, Ordering::SeqCst);
-        let tracker = &tracker;
-        respond(&app, req, limits()).map(move |mut res| {
-            tracker.requests.fetch_sub(1, Ordering::SeqCst);
-            if tracker.is_stopping() {
-                res.insert_header("connection", "close");
+    let memory = RequestMemory { tracker: &tracker, id };
+    let mut reader = RequestReader::new(stream.clone(), &memory);
+    while reader.has_more() || wait_for_request(&stream, limits().idle_timeout).await {
+        tracker.change(id, |c| c.receiving_since = Some(Instant::now()));
+        let closes = match receive_request(&mut reader, limits()).await {
+            Ok((req, closes)) => {
+                // The connection may have given way just before the request was complete.
+                if !tracker.state().budget.begin_service(id) {
+                    break;
+                }
+                tracker.change(id, |c| (c.is_served, c.has_received, c.receiving_since) = (true, true, None));
+                tracker.requests.fetch_add(1, Ordering::SeqCst);
+                let method = req.method();
+                let mut res = respond(&app, req).await;
+                tracker.requests.fetch_sub(1, Ordering::SeqCst);
+                if tracker.is_stopping() {
+                    res.insert_header("connection", "close");
+                }
+                let is_sent = send_response(&stream, res, method).await;
+                if !is_sent {
+                    tracker.count_closed(CloseReason::LateResponse, 1);
+                }
+                closes || !is_sent || tracker.is_stopping()
+            }
+            Err(refusal) => {
+                if let Some(reason) = refusal.reason {
+                    tracker.count_closed(reason, 1);
+                }
+                if let Some(res) = refusal.response
+                    && send_response(&stream, with_connection_close(res), Method::Get).await
+                {
+                    linger(&stream).await;
+                }
+                true
             }
-            Ok(res)
-        })
-    };
-    let mut connection = server::Server::new(stream.clone(), handler);
-    while wait_for_request(&stream, limits().idle_timeout).await {
-        let late_header = close_on_late_header(&stream, &busy, limits().header_timeout);
-        let status = match future::select(pin!(connection.accept_one()), pin!(late_header)).await {
-            Either::Left((status, _)) => status,
-            Either::Right(((), _)) => break,
         };
-        busy.store(false, Ordering::SeqCst);
-        if !matches!(status, Ok(server::ConnectionStatus::KeepAlive)) || tracker.is_stopping() {
+        reader.finish_request();
+        tracker.state().budget.end_service(id, tracker.now());
+        tracker.change(id, |c| (c.is_served, c.receiving_since) = (false, None));
+        if closes {
             break;
         }
     }
+    // An error means that the peer has closed the connection.
+    drop(stream.shutdown(Shutdown::Both));
     tracker.remove(id);
 }
 
@@ -268,36 +461,76 @@
     matches!(async_std::future::timeout(limit, stream.peek(&mut [0])).await, Ok(Ok(1)))
 }
 
-/// Closes the connection and returns if no complete request header has arrived in time; never returns if one has.
-async fn close_on_late_header(stream: &TcpStream, busy: &AtomicBool, limit: Duration) {
-    task::sleep(limit).await;
-    if busy.load(Ordering::SeqCst) {
-        future::pending::<()>().await;
+/// Why a request is not served.
+struct Refusal {
+    /// Reason to count; `None` if the client has ended the connection, or it has given way.
+    reason: Option<CloseReason>,
+    /// Response, if there is one. It says truthfully that the request has not run.
+    response: Option<Response>,
+}
+
+impl Refusal {
+    const fn closed(reason: CloseReason) -> Self {
+        Self { reason: Some(reason), response: None }
     }
-    // An error means that the peer has closed the connection.
-    drop(stream.shutdown(Shutdown::Both));
 }
 
-async fn respond<S>(app: &tide::Server<S>, mut req: Request, limits: Limits) -> Response
+/// Receives a request. Also returns whether the client wants the connection to be closed after the response.
+async fn receive_request<S, M>(reader: &mut RequestReader<'_, S, M>, limits: Limits) -> Result<(Request, bool), Refusal>
+where
+    S: io::Read + io::Write + Unpin,
+    M: Memory,
+{
+    let refuse = |e: RequestError| match e {
+        RequestError::Io { .. } | RequestError::Ended => Refusal { reason: None, response: None },
+        RequestError::Malformed => {
+            Refusal { reason: Some(CloseReason::Malformed), response: Some(Response::new(StatusCode::BadRequest)) }
+        }
+        RequestError::LongHead => Refusal {
+            reason: Some(CloseReason::LongHeader),
+            response: Some(Response::new(StatusCode::RequestHeaderFieldsTooLarge)),
+        },
+        RequestError::LongBody => {
+            Refusal { reason: Some(CloseReason::LongBody), response: Some(reject_large_body(limits.body_bytes)) }
+        }
+        RequestError::NoMemory => {
+            let mut res = Response::new(StatusCode::ServiceUnavailable);
+            res.insert_header("retry-after", RETRY_AFTER_SECS.to_string());
+            Refusal { reason: Some(CloseReason::MemoryLimit), response: Some(res) }
+        }
+    };
+    reader.begin_request().map_err(refuse)?;
+    let head = async_std::future::timeout(limits.header_timeout, reader.read_head(limits.header_bytes)).await;
+    let mut head = head.map_err(|_| Refusal::closed(CloseReason::LateHeader))?.map_err(refuse)?;
+    // The body is read even for requests that are rejected without it, as the next request begins after it.
+    let limit = usize::try_from(limits.body_bytes).unwrap_or(usize::MAX);
+    let body = reader.read_body(&head, limit, limits.header_bytes);
+    let body = async_std::future::timeout(limits.body_timeout, body).await;
+    let body = body.map_err(|_| Refusal::closed(CloseReason::LateBody))?.map_err(refuse)?;
+    head.req.set_body(body);
+    Ok((head.req, head.closes))
+}
+
+async fn respond<S>(app: &tide::Server<S>, req: Request) -> Response
 where
     S: Clone + Send + Sync + 'static,
 {
-    // async-h1 loses bytes of the next request on a connection if a response is sent before the body has arrived, so
-    // the body is read first, even for requests that are rejected without it.
-    match read_body(&mut req, limits.body_bytes).await {
-        Ok(Some(bytes)) => req.set_body(bytes),
-        Ok(None) => return reject_large_body(limits.body_bytes),
-        Err(_) => return with_connection_close(Response::new(StatusCode::BadRequest)),
-    }
     let response: http_types::Result<Response> = app.respond(req).await;
     response.unwrap_or_else(|e| Response::new(e.status()))
 }
 
-/// Reads the body of a request; `None` if it is longer than the limit.
-async fn read_body(req: &mut Request, limit: u64) -> std::io::Result<Option<Vec<u8>>> {
-    let mut bytes = Vec::new();
-    req.take_body().take(limit + 1).read_to_end(&mut bytes).await?;
-    Ok((bytes.len() as u64 <= limit).then_some(bytes))
+/// Sends a response. Returns whether the client has read it in time, as far as its buffers show.
+async fn send_response(mut stream: &TcpStream, res: Response, method: Method) -> bool {
+    let mut encoder = Encoder::new(res, method);
+    matches!(async_std::future::timeout(RESPONSE_TIMEOUT, io::copy(&mut encoder, &mut stream)).await, Ok(Ok(_)))
+}
+
+/// Reads and discards what a client still sends, as a connection that is closed with unread bytes is reset, which may
+/// discard the response.
+async fn linger(mut stream: &TcpStream) {
+    // An error means that the peer has closed the connection.
+    drop(stream.shutdown(Shutdown::Write));
+    drop(async_std::future::timeout(LINGER_TIMEOUT, io::copy(&mut stream, &mut io::sink())).await);
 }
 
 fn reject_large_body(limit: u64) -> Response {
@@ -305,7 +538,7 @@
     errors.add("body", format!("it has more than {limit} bytes"));
     let mut res = Response::new(StatusCode::PayloadTooLarge);
     res.set_body(json!({ "ran": "no", "reason": "invalid", "errors": errors }));
-    with_connection_close(res)
+    res
 }
 
 /// Closes the connection after this response, because the rest of the request may still be in flight.
--- a/crates/net/tests/limits.rs
+++ b/crates/net/tests/limits.rs
@@ -7,7 +7,7 @@
 use carawaybarrow_net::server::{Limits, listen};
 
 const LIMITS: Limits =
-    Limits { body_bytes: 10, header_timeout: Duration::from_millis(300), idle_timeout: Duration::from_millis(600) };
+    Limits { header_timeout: Duration::from_millis(300), idle_timeout: Duration::from_millis(600), ..Limits::new(10) };
 
 async fn time_until_closed(sent: &[u8]) -> Duration {
     let mut app = tide::new();
