Start jobs that name the present term at once

An entry writes the latest term that it knows to have begun into the record of a job. A scheduler of an earlier term starts none of its tasks, and ends its term as it learns of a later one; so the present one need not wait for it, nor for silent workers, whose runs can't be of that job. It does wait if the key of the last scheduler does not say that all before it heed these terms, as schedulers of earlier versions don't.

A job that starts while an earlier scheduler may act can be on a worker that restarts, whose lease that scheduler then extends. When earlier schedulers stop, each worker counts as having a full lease from then, and none lapses before.

Three tests of takeovers fail without the change.

--- a/crates/carawaybarrow/src/node/callers.rs
+++ b/crates/carawaybarrow/src/node/callers.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use carawaybarrow_core::sched::graph::{JobKey, TeamName};
+use carawaybarrow_core::sched::graph::{JobKey, JobSpec, TeamName};
 use carawaybarrow_core::sched::progress::{JobRecord, JobState};
 use carawaybarrow_platform::callers::{self, KEY_HEADER};
 use carawaybarrow_platform::configuration::{Configuration, Queue};
@@ -134,7 +134,7 @@
 
     async fn submit(&self, job: &JobKey, body: &[u8], queue: &Queue, team: Option<TeamName>) -> Answer {
         let spec = match callers::parse_job(body, queue, team, view::now().wall) {
-            Ok(spec) => spec,
+            Ok(spec) => JobSpec { known_term: self.view.latest_term(), ..spec },
             Err(findings) => {
                 let body = json!({ "errors": findings }).to_string().into_bytes();
                 return Answer::new(400, "the job is malformed").with_body(body);
--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -275,7 +275,13 @@
     };
     let has_failed = |peers: &SocketAddr| earlier.as_ref().is_some_and(|e| e.owner.peers == *peers);
     let succession = Succession::choose(count, &view.candidates().unwrap_or_default(), |peers| !has_failed(peers));
-    let last_scheduler = LastScheduler { owner: owner.clone(), have_earlier_stopped: have_all_stopped };
+    // If the last schedulers have stopped, it doesn't matter whether they would have.
+    let do_earlier_heed_terms = have_all_stopped || earlier.as_ref().is_some_and(|e| e.heeds_job_terms);
+    let last_scheduler = LastScheduler {
+        owner: owner.clone(),
+        have_earlier_stopped: have_all_stopped,
+        heeds_job_terms: do_earlier_heed_terms,
+    };
     let change = Change {
         expected: vec![
             (SCHEDULER_KEY.to_owned(), view.scheduler_revision()),
@@ -318,7 +324,10 @@
         created: revision,
     });
     let policy = view.configuration().map(|c| Arc::clone(&c.policy)).unwrap_or_default();
-    let scheduler = Scheduler::new(FencingToken(revision.0), count, view.settings.bounds, policy);
+    let mut scheduler = Scheduler::new(FencingToken(revision.0), count, view.settings.bounds, policy);
+    if do_earlier_heed_terms {
+        scheduler.record_earlier_heed_terms();
+    }
     let term = Term::new(owner, revision, lease, Arc::clone(view), scheduler, succession, may_order_vms_at_once);
     term.record_stored(asked);
     if have_all_stopped {
@@ -388,7 +397,7 @@
     if term.owner.term == 0 {
         return;
     }
-    let last = LastScheduler { owner: term.owner.clone(), have_earlier_stopped: true };
+    let last = LastScheduler { owner: term.owner.clone(), have_earlier_stopped: true, heeds_job_terms: true };
     let change = Change {
         expected: vec![(SCHEDULER_KEY.to_owned(), term.revision)],
         puts: vec![(LAST_SCHEDULER_KEY.to_owned(), records::encode(&last), None)],
--- a/crates/carawaybarrow/src/node/records.rs
+++ b/crates/carawaybarrow/src/node/records.rs
@@ -128,6 +128,9 @@
     /// Whether all schedulers before it are known to have stopped. They have if only its own process may still act.
     #[serde(default)]
     pub have_earlier_stopped: bool,
+    /// Whether it and all schedulers before it start no job that names a later term. Earlier versions did not.
+    #[serde(default)]
+    pub heeds_job_terms: bool,
 }
 
 /// A worker of the stored recovery set.
--- a/crates/carawaybarrow/src/node/worker_polls.rs
+++ b/crates/carawaybarrow/src/node/worker_polls.rs
@@ -95,7 +95,13 @@
 /// Ticks the scheduler at regular intervals until the term ends; each tick checks the runs.
 pub async fn tick(term: Arc<Term>) {
     while !term.is_ended() {
-        term.with(|s| s.tick(view::now()));
+        let is_superseded = term.with(|s| {
+            s.tick(view::now());
+            s.is_superseded()
+        });
+        if is_superseded {
+            return term.end("a job names a later term");
+        }
         term.request_plan();
         task::sleep(TICK_INTERVAL).await;
     }
--- a/crates/core/benches/plan.rs
+++ b/crates/core/benches/plan.rs
@@ -65,6 +65,7 @@
         schedule: None,
         accepted: WallTime(1_000_000),
         rules: QueuePolicy::default(),
+        known_term: None,
     }
 }
 
--- a/crates/core/src/sched/graph.rs
+++ b/crates/core/src/sched/graph.rs
@@ -205,6 +205,10 @@
     /// Rules of the queue at acceptance, which hold if the queue is removed from the configuration.
     #[serde(default)]
     pub rules: QueuePolicy,
+    /// Latest term that the accepting entry knew to have begun. Schedulers of earlier terms start none of its tasks. `None`
+    /// in records of earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub known_term: Option<u32>,
 }
 
 impl JobSpec {
--- a/crates/core/src/sched/recovery.rs
+++ b/crates/core/src/sched/recovery.rs
@@ -189,6 +189,9 @@
         self.previous_stopped_at = Some(now);
         let listed_by = now + VM_CALL_LIMIT + VM_LIST_LAG;
         self.earlier_vm_orders_listed_by = self.earlier_vm_orders_listed_by.min(listed_by);
+        // An earlier scheduler may have extended the lease of a worker that had restarted, just before it stopped.
+        let lease = self.lease_length();
+        self.workers.values_mut().for_each(|worker| worker.assume_lease(now, lease));
         self.reconcile_by = self.reconcile_by.min(now + self.longest_earlier_lease());
         if self.is_reconciled {
             return;
@@ -224,7 +227,7 @@
     pub(super) fn is_job_reconciled(&self, job: &Job) -> bool {
         // The previous scheduler may have been notified of any job that was accepted before it stopped.
         let is_new = self.previous_stopped.is_some_and(|revision| job.created > revision);
-        if is_new || self.is_reconciled {
+        if is_new || self.is_reconciled || self.is_of_this_term(&job.spec) {
             return true;
         }
         if self.previous_stopped_at.is_none() {
--- a/crates/core/src/sched/runs.rs
+++ b/crates/core/src/sched/runs.rs
@@ -284,7 +284,7 @@
             if !worker.is_reachable(now) {
                 // A later scheduler may have extended a lease that had not lapsed when this term was last confirmed.
                 if worker.has_lapsed(self.confirmed_at.min(now))
-                    && (worker.refuses_earlier_terms || self.is_reconciled())
+                    && (self.is_reconciled() || (worker.refuses_earlier_terms && self.previous_stopped_at.is_some()))
                 {
                     let runs = worker.runs.len();
                     self.drop_runs(now, &key, |_| true);
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -68,6 +68,12 @@
 #[derive(Debug)]
 pub struct Scheduler {
     pub(super) token: FencingToken,
+    /// Number of the term, from 0.
+    term: u32,
+    /// Whether a job names a later term.
+    is_superseded: bool,
+    /// Whether all schedulers of earlier terms start no job that names a later one.
+    pub(super) do_earlier_heed_terms: bool,
     /// Lowest run number of this term.
     pub(super) first_run: u32,
     pub(super) bounds: Bounds,
@@ -132,6 +138,9 @@
     pub fn new(token: FencingToken, term: u32, bounds: Bounds, policy: Arc<Policy>) -> Self {
         Self {
             token,
+            term,
+            is_superseded: false,
+            do_earlier_heed_terms: term == 0,
             first_run: term.saturating_mul(RUNS_PER_TERM).saturating_add(1),
             bounds,
             policy,
@@ -222,7 +231,23 @@
     /// Whether the term was confirmed lately, so that tasks may start and leases be extended.
     #[must_use]
     pub fn is_confirmed(&self, now: MonoTime) -> bool {
-        now.since(self.confirmed_at) <= CONFIRMATION_LIMIT
+        !self.is_superseded && now.since(self.confirmed_at) <= CONFIRMATION_LIMIT
+    }
+
+    /// Whether a job shows that a later term has begun. The scheduler then starts nothing, and its term must end.
+    #[must_use]
+    pub const fn is_superseded(&self) -> bool {
+        self.is_superseded
+    }
+
+    /// Records that all schedulers of earlier terms start no job that names a later term.
+    pub fn record_earlier_heed_terms(&mut self) {
+        self.do_earlier_heed_terms = true;
+    }
+
+    /// Whether no scheduler of an earlier term starts a job, because the entry that accepted it knew of this term.
+    pub(super) fn is_of_this_term(&self, spec: &JobSpec) -> bool {
+        self.do_earlier_heed_terms && spec.known_term >= Some(self.term)
     }
 
     /// Adds an accepted job. `created` is the revision of the store at which it was accepted. Jobs of one team should be
@@ -238,6 +263,10 @@
         if self.ended.contains_key(&key) {
             return;
         }
+        if spec.known_term > Some(self.term) {
+            self.is_superseded = true;
+            return;
+        }
         let mut job = Job::new(key.clone(), spec, progress);
         job.created = created;
         // The token is the revision at which the term began.
--- a/crates/core/tests/sched/model.rs
+++ b/crates/core/tests/sched/model.rs
@@ -120,6 +120,7 @@
         schedule: None,
         accepted: WallTime(START_MS),
         rules: rules(),
+        known_term: None,
     }
 }
 
--- a/crates/core/tests/sched/takeover.rs
+++ b/crates/core/tests/sched/takeover.rs
@@ -1,6 +1,6 @@
 //! Which tasks a new scheduler may start after a takeover.
 
-use carawaybarrow_core::sched::graph::{Step, WorkerKey};
+use carawaybarrow_core::sched::graph::{JobSpec, Step, WorkerKey};
 use carawaybarrow_core::sched::maintenance::{Vm, VmState};
 use carawaybarrow_core::sched::order::Order;
 use carawaybarrow_core::sched::progress::JobState;
@@ -406,3 +406,58 @@
     assert!(model.done.values().all(|n| *n == 1), "{:?}", model.done);
     assert_eq!(model.state("k"), Some(JobState::Completed));
 }
+
+/// Job that an entry accepted which knew that a term had begun.
+fn job_of_term(term: u32) -> JobSpec {
+    JobSpec { known_term: Some(term), ..job(vec![step(1, 1_000)]) }
+}
+
+/// Guards against new jobs that wait after a takeover until earlier schedulers have stopped, or for a silent worker, although
+/// no earlier scheduler starts them.
+#[test]
+fn job_that_names_the_present_term_starts_at_once() {
+    let mut model = Model::new(2);
+    model.run_for(500);
+    model.worker_mut(1).is_partitioned = true;
+    model.replace_scheduler();
+    model.scheduler.record_earlier_heed_terms();
+    model.accept("new", job_of_term(1));
+    model.accept("old", job_of_term(0));
+    model.accept("unknown", job(vec![step(1, 1_000)]));
+    model.run_for(100);
+    assert_eq!(model.state("new"), Some(JobState::Running));
+    assert_eq!(model.state("old"), Some(JobState::Queued));
+    assert_eq!(model.state("unknown"), Some(JobState::Queued));
+}
+
+/// Guards against the same where the earlier scheduler may be of a version that starts such jobs.
+#[test]
+fn job_that_names_the_present_term_waits_for_a_scheduler_of_an_earlier_version() {
+    let mut model = Model::new(2);
+    model.run_for(500);
+    model.replace_scheduler();
+    model.accept("new", job_of_term(1));
+    model.run_for(100);
+    assert_eq!(model.state("new"), Some(JobState::Queued));
+}
+
+/// Guards against a task that runs twice because an earlier scheduler starts a job that its successor has started, and
+/// against one that goes on although a job shows that its term is over.
+#[test]
+fn earlier_scheduler_starts_nothing_once_a_job_names_a_later_term() {
+    let mut model = Model::new(2);
+    model.work_ms = 20_000;
+    model.run_for(500);
+    model.replace_scheduler_unnoticed();
+    model.scheduler.record_earlier_heed_terms();
+    // The present scheduler has not polled the worker yet, which would accept an order of the earlier one.
+    let key = super::model::report(0).key;
+    model.accept_unannounced("j", job_of_term(1));
+    model.accept_unannounced("k", job(vec![step(1, 1_000)]));
+    model.run_previous(&key);
+    assert_eq!(model.count_running(), 0);
+    assert!(model.previous.as_ref().is_some_and(|previous| previous.is_superseded()));
+    model.announce("j");
+    model.run_for(100);
+    assert_eq!(model.count_running(), 1);
+}
--- a/spec/workers.pml
+++ b/spec/workers.pml
@@ -2,7 +2,8 @@
  * after the next one began. That no term is confirmed as of a later time is what succession.pml checks. A scheduler is
  * confirmed as of any time up to the beginning of the next term; an earlier confirmation allows less, and a poll may
  * extend no lease. Mutants and variants: NO_LIMIT, LAPSE_NOW, NEW_JOB_BY_TIME, IGNORE_UNANSWERED, ADOPT_WITHOUT_LEASE,
- * GIVE_UP_NOW, ANSWER_BEFORE_STOP, ACKNOWLEDGE_BEFORE_STOP, IGNORE_RESTART.
+ * GIVE_UP_NOW, ANSWER_BEFORE_STOP, ACKNOWLEDGE_BEFORE_STOP,
+ * IGNORE_JOB_TERM, IGNORE_EXTENSIONS.
  *
  * A worker may restart once. It then has no runs, ends, lease or token. Calls on their way to it are lost, so a call that
  * the new incarnation executes although it was sent before the restart is not covered.
@@ -44,11 +45,11 @@
 /* The store. */
 byte newest_term = 1;
 bool accepted = false;
+byte job_term = 0;            /* term that the accepting entry knew to have begun */
 bool stored_end = false;
 
 /* Workers. */
 byte restarts = 0;
-byte incarnation[WORKERS];
 byte token[WORKERS];
 byte task_run[WORKERS];
 byte lease_left[WORKERS];
@@ -64,9 +65,9 @@
 
 typedef PerWorker {
   bool has_answered[WORKERS]; /* or was given up */
+  bool has_token[WORKERS]; /* answered at least once, with the token of the term */
   bool has_run[WORKERS];
-  byte order_age[WORKERS];
-  byte incarnation[WORKERS] /* that answered last */
+  byte order_age[WORKERS]
 }
 PerWorker view[TERMS];
 
@@ -77,10 +78,18 @@
 #define MAY_ORDER(s) (is_active[s] && CONFIRMED(s))
 #endif
 
+/* An earlier scheduler may extend the lease of a worker that has restarted, until it can't order any more. */
+#ifdef IGNORE_EXTENSIONS
+#define MAY_EXTEND_EARLIER(s) (false)
+#else
+#define MAY_EXTEND_EARLIER(s) (s > 0 && term_age[s] < LIMIT)
+#endif
+
 #ifdef LAPSE_NOW
 #define RUN_LAPSED(s, w) (view[s].order_age[w] >= LEASE)
 #else
-#define RUN_LAPSED(s, w) (CONFIRMED(s) && view[s].order_age[w] >= LEASE + confirmed_age[s])
+#define RUN_LAPSED(s, w) \
+  (CONFIRMED(s) && !MAY_EXTEND_EARLIER(s) && view[s].order_age[w] >= LEASE + confirmed_age[s])
 #endif
 
 #ifdef GIVE_UP_NOW
@@ -109,12 +118,21 @@
 #define MAY_ACKNOWLEDGE(s) (s == 0 || term_age[s] >= LIMIT)
 #endif
 
+/* Schedulers of earlier terms start no job that names a later one. */
+#ifdef IGNORE_JOB_TERM
+#define HEEDS_JOB(s) (true)
+#else
+#define HEEDS_JOB(s) (job_term <= s + 1)
+#endif
+/* Such a job starts at once, on workers that refuse the leases of earlier terms, unless they have restarted since. */
+#define IS_OF_TERM(s, w) (job_term == s + 1 && view[s].has_token[w])
+
 #define RECONCILED(s) (view[s].has_answered[0] && view[s].has_answered[1])
 #ifdef NEW_JOB_BY_TIME
-#define MAY_START_JOB(s) \
-  (RECONCILED(s) || (accepted_when[s] != BEFORE_TERM && term_age[s] >= LIMIT))
+#define MAY_START_JOB(s, w) \
+  (RECONCILED(s) || IS_OF_TERM(s, w) || (accepted_when[s] != BEFORE_TERM && term_age[s] >= LIMIT))
 #else
-#define MAY_START_JOB(s) (RECONCILED(s) || accepted_when[s] == AFTER_OVERRUN)
+#define MAY_START_JOB(s, w) (RECONCILED(s) || IS_OF_TERM(s, w) || accepted_when[s] == AFTER_OVERRUN)
 #endif
 
 inline check_start() {
@@ -124,6 +142,7 @@
 
 inline forget_worker(s, w) {
   view[s].has_answered[w] = false;
+  view[s].has_token[w] = false;
   view[s].has_run[w] = false;
   view[s].order_age[w] = LONG_AGO
 }
@@ -151,9 +170,9 @@
 hidden int key1;
 hidden byte x;
 
-#define KEY(w) (incarnation[w] + 4 * (((((token[w] * 3 + task_run[w]) * 8 + lease_left[w]) * 8 + in_flight[w]) * 8) + in_flight_left[w]))
+#define KEY(w) (((((token[w] * 3 + task_run[w]) * 8 + lease_left[w]) * 8 + in_flight[w]) * 8) + in_flight_left[w])
 #define VIEW(s, w) \
-  (((view[s].has_answered[w] * 2 + view[s].has_run[w]) * 4 + view[s].incarnation[w]) * 16 + view[s].order_age[w])
+  ((view[s].has_answered[w] * 4 + view[s].has_token[w] * 2 + view[s].has_run[w]) * 16 + view[s].order_age[w])
 
 inline swap(a, b) {
   x = a; a = b; b = x
@@ -174,6 +193,11 @@
      :: else
      fi;
      if
+     :: job_term != s + 1 || RECONCILED(s) || !is_active[s] ->
+        view[s].has_token[0] = false; view[s].has_token[1] = false
+     :: else
+     fi;
+     if
      :: knows_end[s] -> view[s].has_run[0] = false; view[s].has_run[1] = false
      :: else
      fi;
@@ -203,10 +227,6 @@
         :: !view[s].has_run[w] && (s == 0 || view[s].has_answered[w]) -> view[s].order_age[w] = LONG_AGO
         :: else
         fi;
-        if
-        :: !is_active[s] || !view[s].has_run[w] -> view[s].incarnation[w] = incarnation[w]
-        :: else
-        fi;
         s++
      :: else -> break
      od;
@@ -223,14 +243,13 @@
   :: key0 > key1 ->
      swap(token[0], token[1]); swap(task_run[0], task_run[1]); swap(lease_left[0], lease_left[1]);
      swap(in_flight[0], in_flight[1]); swap(in_flight_left[0], in_flight_left[1]);
-     swap(incarnation[0], incarnation[1]);
      s = 0;
      do
      :: s < TERMS ->
         swap(view[s].has_answered[0], view[s].has_answered[1]);
+        swap(view[s].has_token[0], view[s].has_token[1]);
         swap(view[s].has_run[0], view[s].has_run[1]);
         swap(view[s].order_age[0], view[s].order_age[1]);
-        swap(view[s].incarnation[0], view[s].incarnation[1]);
         s++
      :: else -> break
      od
@@ -274,6 +293,14 @@
   :: s < TERMS ->
      if
      :: is_active[s] ->
+        if
+        :: MAY_EXTEND_EARLIER(s) && view[s].has_run[0] -> view[s].order_age[0] = 0
+        :: else
+        fi;
+        if
+        :: MAY_EXTEND_EARLIER(s) && view[s].has_run[1] -> view[s].order_age[1] = 0
+        :: else
+        fi;
         grow(term_age[s], TERM_AGE_MAX);
         if
         :: newest_term > s + 1 -> grow(confirmed_age[s], UNCONFIRMED)
@@ -296,6 +323,7 @@
   :: d_step { true -> pass_tick(); normalize() }
 
   /* The store. */
+  :: !accepted && job_term < newest_term -> job_term++
   :: d_step { !accepted ->
        accepted = true;
        s = 0;
@@ -334,7 +362,6 @@
        :: task_run[w] == RUNNING -> task_run[w] = ENDED
        :: restarts < RESTARTS && (token[w] > 0 || task_run[w] != NONE) ->
           restarts++;
-          incarnation[w]++;
           token[w] = 0; task_run[w] = NONE; lease_left[w] = 0;
           in_flight[w] = 0; in_flight_left[w] = 0
        :: else
@@ -372,6 +399,7 @@
           fi;
           if
           :: true -> /* answered */
+             view[s].has_token[w] = true;
              if
              :: SHOWS_ALL(s) -> view[s].has_answered[w] = true
              :: else
@@ -386,17 +414,12 @@
 #ifndef ADOPT_WITHOUT_LEASE
                 if
                 :: !view[s].has_run[w] -> view[s].order_age[w] = 0
-#ifndef IGNORE_RESTART
-                /* An earlier scheduler may have started it on the present incarnation. */
-                :: view[s].has_run[w] && view[s].incarnation[w] != incarnation[w] -> view[s].order_age[w] = 0
-#endif
                 :: else
                 fi;
 #endif
                 view[s].has_run[w] = true
              :: else -> view[s].has_run[w] = false
-             fi;
-             view[s].incarnation[w] = incarnation[w]
+             fi
           :: true /* executed, and the answer is lost */
           fi;
           extends = false
@@ -410,8 +433,8 @@
           view[s].has_answered[w] = true
        :: is_active[s] && view[s].has_run[w] && RUN_LAPSED(s, w) -> view[s].has_run[w] = false
        /* A start. */
-       :: MAY_ORDER(s) && accepted && !knows_end[s] && in_flight[w] == 0 &&
-            !view[s].has_run[0] && !view[s].has_run[1] && (s == 0 || MAY_START_JOB(s)) ->
+       :: MAY_ORDER(s) && accepted && HEEDS_JOB(s) && !knows_end[s] && in_flight[w] == 0 &&
+            !view[s].has_run[0] && !view[s].has_run[1] && (s == 0 || MAY_START_JOB(s, w)) ->
           in_flight[w] = s + 1; in_flight_left[w] = LEASE;
           view[s].has_run[w] = true; view[s].order_age[w] = 0
        :: else
