Bound the memory of jobs that are being parsed and stored

Cause: a step of 12 bytes takes some 860 bytes while it is parsed and stored, and nothing bounded how many jobs were at that stage at once.

A job reserves 64 times its body from a budget as large as that of all requests, until the store has answered. If it is used up, the caller gets 503, as nothing was stored; a single job is never refused. The tests wait until the attacked entry itself accepts a job, as a crowd that came before it listened showed nothing. `known_term` of the last scheduler counts only if it is of the term just before.

--- a/crates/carawaybarrow/src/node/callers.rs
+++ b/crates/carawaybarrow/src/node/callers.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use carawaybarrow_core::byte_budget::ByteBudget;
 use carawaybarrow_core::sched::graph::{JobKey, JobSpec, TeamName};
 use carawaybarrow_core::sched::progress::{JobRecord, JobState};
 use carawaybarrow_platform::callers::{self, KEY_HEADER};
@@ -20,6 +21,10 @@
 /// Time for a read of the store while a caller waits.
 const READ_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Memory that a job takes while it is parsed and stored, relative to its body. A step of 12 bytes, the shortest, takes some
+/// 860 bytes: as it was received, as the scheduler knows it, and twice in the encoding of the store.
+const JOB_MEMORY_FACTOR: usize = 64;
+
 /// Seconds after which a caller should retry a request that was answered with 429 or 503.
 const RETRY_AFTER_SECS: u32 = 1;
 
@@ -32,6 +37,8 @@
     pub scheduler: Arc<SchedulerClient>,
     /// Creates keys in the store.
     pub key_writer: Arc<StoreKeyWriter>,
+    /// Budget for jobs that are being parsed and stored.
+    pub storing: Arc<ByteBudget>,
 }
 
 /// Adds the routes of the API: all paths, as the configuration maps hosts and path prefixes to queues.
@@ -133,6 +140,9 @@
     }
 
     async fn submit(&self, job: &JobKey, body: &[u8], queue: &Queue, team: Option<TeamName>) -> Answer {
+        let Some(_reservation) = self.storing.try_reserve(body.len() * JOB_MEMORY_FACTOR) else {
+            return Answer::new(503, "too many jobs are being stored; the job was not accepted");
+        };
         let spec = match callers::parse_job(body, queue, team, view::now().wall) {
             Ok(spec) => JobSpec { known_term: self.view.latest_term(), ..spec },
             Err(findings) => {
--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -276,7 +276,8 @@
     let has_failed = |peers: &SocketAddr| earlier.as_ref().is_some_and(|e| e.owner.peers == *peers);
     let succession = Succession::choose(count, &view.candidates().unwrap_or_default(), |peers| !has_failed(peers));
     // If the last schedulers have stopped, it doesn't matter whether they would have.
-    let do_earlier_heed_terms = have_all_stopped || earlier.as_ref().is_some_and(|e| e.heeds_job_terms);
+    let is_last_heeding = |e: &LastScheduler| e.heeds_job_terms && e.owner.term.checked_add(1) == Some(count);
+    let do_earlier_heed_terms = have_all_stopped || earlier.as_ref().is_some_and(is_last_heeding);
     let last_scheduler = LastScheduler {
         owner: owner.clone(),
         have_earlier_stopped: have_all_stopped,
--- a/crates/carawaybarrow/src/node/run.rs
+++ b/crates/carawaybarrow/src/node/run.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use async_std::task;
+use carawaybarrow_core::byte_budget::ByteBudget;
 use carawaybarrow_platform::callers::READINESS_PATH;
 use carawaybarrow_platform::settings::Settings;
 use serde_json::json;
@@ -96,8 +97,12 @@
     });
     let metrics_server = http_server::listen(settings.metrics, metrics_app, Limits::new(0)).await?;
 
-    let mut caller_app =
-        tide::with_state(CallerApi { view: Arc::clone(&view), scheduler: Arc::clone(&scheduler_client), key_writer });
+    let mut caller_app = tide::with_state(CallerApi {
+        view: Arc::clone(&view),
+        scheduler: Arc::clone(&scheduler_client),
+        key_writer,
+        storing: Arc::new(ByteBudget::new(settings.connection_limits.request_bytes)),
+    });
     callers::add_routes(&mut caller_app);
     let caller_server =
         http_server::listen_with(settings.callers, caller_app, caller_limits(&view), settings.connection_limits)
--- a/crates/carawaybarrow/tests/uncontrolled_clients.rs
+++ b/crates/carawaybarrow/tests/uncontrolled_clients.rs
@@ -36,6 +36,9 @@
 /// CPU time in ticks that an entry uses in such an interval without requests, at most.
 const IDLE_TICKS: u64 = 10;
 
+/// Attempts until the entry accepts a first job.
+const START_ATTEMPTS: usize = 200;
+
 /// Attempts of the ordinary caller, each on a connection of its own.
 const ORDINARY_ATTEMPTS: usize = 10;
 
@@ -54,6 +57,8 @@
     EmptyLines { bytes: usize },
     /// Half a request line.
     HalfLine,
+    /// A whole job of many steps of one task.
+    Steps { count: usize },
 }
 
 impl Sent {
@@ -68,6 +73,13 @@
             Self::Headers { .. } => head(""),
             Self::EmptyLines { .. } => String::new(),
             Self::HalfLine => "POST /sho".to_owned(),
+            Self::Steps { count } => {
+                let steps = vec!["{\"count\":1}"; count].join(",");
+                // It is due in the year 2100.
+                let schedule = "\"start-at-ms\":4102444800000,\"interval-ms\":1000,\"repeat-count\":1";
+                let body = format!("{{\"spec\":\"50\",{schedule},\"steps\":[{steps}]}}");
+                head(&format!("content-length: {}\r\n\r\n{body}", body.len()))
+            }
         };
         match self {
             Self::Chunks { bytes, chunk } => {
@@ -77,7 +89,7 @@
             Self::Length { bytes } | Self::Header { bytes } => text.push_str(&"a".repeat(bytes)),
             Self::Headers { bytes } => text.push_str(&"x-more: aaaaaaaaaaaaaaaaaaaaaa\r\n".repeat(bytes / 32)),
             Self::EmptyLines { bytes } => text.push_str(&"\r\n".repeat(bytes / 2)),
-            Self::HalfLine => {}
+            Self::HalfLine | Self::Steps { .. } => {}
         }
         text.into_bytes()
     }
@@ -134,11 +146,20 @@
         let installation = Installation::start_with_limits(seed, size, size.entries, &limits).await;
         installation::await_start(&installation, &Caller::new(KEY)).await;
         let entry = installation.addresses()[1];
+        // The entry that accepted the first job may be another one.
+        let first = Job { id: "00000000000000ee".to_owned(), steps: vec![1], run_time_ms: Some(50) };
+        for _ in 0..START_ATTEMPTS {
+            if Caller::new(KEY).submit(entry, &first).await == Answer::Yes(String::new()) {
+                break;
+            }
+            task::sleep(Duration::from_millis(100)).await;
+        }
         let process = installation.entries[1].lock().expect("the lock is not poisoned").id().expect("it runs");
         let bytes = sent.encode();
         let crowd: Vec<_> = future::join_all((0..clients).map(|_| send(entry, &bytes))).await;
         let open = crowd.iter().flatten().count();
         settle(process).await;
+        assert_eq!(open, clients, "the entry did not listen");
         // The crowd's connections are still open at its side.
         let (memory_mb, descriptors) = (peak_memory_mb(process), count_descriptors(process));
         println!("{sent:?}, {clients} clients, {open} connected: {memory_mb} MB at most, {descriptors} descriptors");
@@ -206,3 +227,9 @@
 fn half_requests_on_many_connections() {
     check_crowd(236, 500, Sent::HalfLine);
 }
+
+/// Guards against whole jobs that take many times their size while they are parsed and stored.
+#[test]
+fn jobs_of_many_small_steps() {
+    check_crowd(237, 200, Sent::Steps { count: 9_000 });
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod admission;
 pub mod breaker;
 pub mod burn;
+pub mod byte_budget;
 pub mod commit;
 pub mod config;
 pub mod confirmation;
--- a/crates/core/tests/connections.rs
+++ b/crates/core/tests/connections.rs
@@ -1,7 +1,9 @@
 //! Which connections of callers give way when a budget is used up.
 
 use std::net::{IpAddr, Ipv4Addr};
+use std::sync::Arc;
 
+use carawaybarrow_core::byte_budget::ByteBudget;
 use carawaybarrow_core::connections::{ConnectionId, ConnectionLimits, Connections, Grant};
 use carawaybarrow_core::units::MonoTime;
 use proptest::collection::vec;
@@ -92,6 +94,22 @@
     assert!(tiny.connections > 0 && tiny.request_bytes > 262_144 + 16_384);
 }
 
+/// Guards against memory that is not released, and against a job that is never accepted because it is larger than the
+/// budget.
+#[test]
+fn byte_budget_is_shared_and_released() {
+    let budget = Arc::new(ByteBudget::new(100));
+    let first = budget.try_reserve(60).expect("nothing is used");
+    assert!(budget.try_reserve(50).is_none());
+    let second = budget.try_reserve(40).expect("it fits");
+    drop((first, second));
+    assert_eq!(budget.used(), 0);
+    let large = budget.try_reserve(500).expect("nothing is used");
+    assert!(budget.try_reserve(1).is_none());
+    drop(large);
+    assert!(budget.try_reserve(1).is_some());
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Open(u8),
--- a/crates/core/tests/sched/restarts.rs
+++ b/crates/core/tests/sched/restarts.rs
@@ -290,11 +290,9 @@
     assert_eq!(model.state("k"), Some(JobState::Completed));
 }
 
-/// Guards against a task that runs twice because a worker that has refused the token of the previous scheduler crashes and
-/// starts again under its id. It has seen no token then, and accepts an order that the previous scheduler sends before it
-/// stops, or sent earlier, as a call without an answer may be executed seconds later.
-#[test]
-fn restarted_worker_takes_no_order_of_an_earlier_term() {
+/// Lets the previous scheduler start a task on a worker that has refused its token and restarted since. The present one
+/// would start it on the other worker.
+fn start_by_previous_on_restarted_worker() -> Model {
     let mut model = Model::new(2);
     model.work_ms = 20_000;
     model.run_for(SETTLING_MS);
@@ -302,15 +300,23 @@
     model.poll_all();
     model.accept_unannounced("j", job(vec![step(1, 1_000)]));
     model.advance_time();
-    // The present scheduler would start the task on the other worker.
     let key = report(0).key;
     model.scheduler.set_cordoned(&key, true);
     model.announce("j");
     model.run_scheduler();
     model.worker_mut(0).restart();
     model.run_previous(&key);
-    model.check_invariants();
     assert_eq!(model.worker_mut(0).runs.len(), 1, "the previous scheduler has started the task");
+    model
+}
+
+/// Guards against a task that runs twice because a worker that has refused the token of the previous scheduler crashes and
+/// starts again under its id. It has seen no token then, and accepts an order that the previous scheduler sends before it
+/// stops, or sent earlier, as a call without an answer may be executed seconds later.
+#[test]
+fn restarted_worker_takes_no_order_of_an_earlier_term() {
+    let mut model = start_by_previous_on_restarted_worker();
+    model.check_invariants();
     for _ in 0..PREVIOUS_TERM_OVERRUN.0 / STEP_MS + 10 {
         model.run_for(STEP_MS);
         model.check_invariants();
@@ -357,21 +363,10 @@
 /// worker that had restarted, and the present one has not extended the lease there.
 #[test]
 fn restarted_worker_has_the_lease_that_an_earlier_scheduler_may_have_granted() {
-    let mut model = Model::new(2);
-    model.work_ms = 20_000;
-    model.run_for(SETTLING_MS);
-    model.replace_scheduler_unnoticed();
-    model.poll_all();
-    model.accept_unannounced("j", job(vec![step(1, 1_000)]));
-    let key = report(0).key;
-    model.scheduler.set_cordoned(&key, true);
-    model.announce("j");
-    model.worker_mut(0).restart();
-    model.run_previous(&key);
-    assert_eq!(model.worker_mut(0).runs.len(), 1, "the previous scheduler has started the task");
+    let mut model = start_by_previous_on_restarted_worker();
     // A silent worker gets no extension with the poll that shows its restart.
     model.now += 1_500;
-    model.poll(&key);
+    model.poll(&report(0).key);
     model.worker_mut(0).is_partitioned = true;
     for _ in 0..80 {
         model.run_for(STEP_MS);
