--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -500,14 +500,18 @@
         }
     };
     reader.begin_request().map_err(refuse)?;
-    let head = async_std::future::timeout(limits.header_timeout, reader.read_head(limits.header_bytes)).await;
-    let mut head = head.map_err(|_| Refusal::closed(CloseReason::LateHeader))?.map_err(refuse)?;
+    let head = reader.read_head(limits.header_bytes);
+    let Ok(head) = async_std::future::timeout(limits.header_timeout, head).await else {
+        return Err(Refusal::closed(CloseReason::LateHeader));
+    };
+    let mut head = head.map_err(refuse)?;
     // The body is read even for requests that are rejected without it, as the next request begins after it.
     let limit = usize::try_from(limits.body_bytes).unwrap_or(usize::MAX);
     let body = reader.read_body(&head, limit, limits.header_bytes);
-    let body = async_std::future::timeout(limits.body_timeout, body).await;
-    let body = body.map_err(|_| Refusal::closed(CloseReason::LateBody))?.map_err(refuse)?;
-    head.req.set_body(body);
+    let Ok(body) = async_std::future::timeout(limits.body_timeout, body).await else {
+        return Err(Refusal::closed(CloseReason::LateBody));
+    };
+    head.req.set_body(body.map_err(refuse)?);
     Ok((head.req, head.closes))
 }
 
