Count no earlier scheduler as stopped before the recovery set is read

The time by which earlier schedulers have stopped was 0 until the recovery set was read, so that a poll before it would have counted them as stopped. No poll is sent before it today; now none could.

--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -156,7 +156,8 @@
             writes: WriteQueue::default(),
             unreconciled: Set::default(),
             earlier_workers: Vec::new(),
-            previous_stops_by: MonoTime(0),
+            // The recovery set says when.
+            previous_stops_by: MonoTime(u64::MAX),
             previous_stopped_at: None,
             earlier_vm_orders_listed_by: MonoTime(0),
             vm_list_requested: MonoTime(0),
