Learn when a scheduler that gives no answer has stopped

Change: the lease of the lost scheduler lapsed, so it had not been renewed for the length of the lease, and each entry that its stored succession names answers the announcement of the new term with the time for which it has confirmed none. Both together tell when the lost scheduler has stopped (sched::takeover). For that, a proof counts only of entries that every possible succession names, a succession that leaves out an entry withdraws what others confirmed since the last renewal, a term begins as confirmed when its lease was requested, and an entry that ends another's lease records that before. If an entry is silent, or of an earlier version, the 2 s hold.

--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -13,6 +13,7 @@
 use carawaybarrow_core::sched::recovery::{PREVIOUS_TERM_OVERRUN, QueuePools};
 use carawaybarrow_core::sched::scheduler::Scheduler;
 use carawaybarrow_core::sched::succession::{Succession, UNLISTED_DELAY, Vacancy};
+use carawaybarrow_core::sched::takeover::LastStop;
 use carawaybarrow_core::units::{Millis, MonoTime};
 use carawaybarrow_platform::configuration::{EVACUATION_PREFIX, evacuated_data_centre};
 use carawaybarrow_platform::store::{Change, ChangeOutcome, Item, LeaseId, StoreError, StoreRevision};
@@ -21,15 +22,18 @@
 use crate::node::peers::SchedulerClient;
 use crate::node::records::{
     self, JOB_PREFIX, JobItem, LAST_SCHEDULER_KEY, LastScheduler, Owner, PROGRESS_PREFIX, QUEUE_POOLS_KEY,
-    RECOVERY_SET_KEY, RELEASED_TERM_KEY, SCHEDULER_KEY, SUCCESSION_KEY, TERM_COUNT_KEY,
+    RECOVERY_SET_KEY, RELEASED_TERM_KEY, RELIEVED_TERM_KEY, SCHEDULER_KEY, SUCCESSION_KEY, TERM_COUNT_KEY,
 };
-use crate::node::term::Term;
-use crate::node::view::{self, View};
+use crate::node::term::{GrantedLease, Term};
+use crate::node::view::{self, PROBE_INTERVAL, View};
 use crate::node::{job_writer, store_watches, succession, vm_orders, worker_polls};
 
 /// Length of the scheduler's lease, unless the store grants only longer ones. A shorter lease would lapse in short
 /// outages; a longer one would leave the pools without a scheduler for longer after a failure.
-const TERM_LEASE: Duration = Duration::from_millis(1_500);
+const TERM_LEASE: Millis = Millis(1_500);
+
+/// Time between probes of the store while the scheduler is lost and its lease may lapse.
+const WATCH_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time between renewals. The lease survives two renewals that fail quickly.
 const RENEW_INTERVAL: Duration = Duration::from_millis(400);
@@ -94,7 +98,7 @@
             let is_waiting = wait.is_some_and(|(term, until)| view.latest_term() == term && now < until);
             if view.takeover_delay().is_some_and(|delay| now.since(since) >= delay) && !is_waiting {
                 match try_begin_term(&view, incarnation, &mut vacancy).await {
-                    Ok(Attempt::Begun(term, earlier)) => run_term(*term, Arc::clone(&scheduler), earlier),
+                    Ok(Attempt::Begun(term, earlier)) => run_term(*term, Arc::clone(&scheduler), *earlier),
                     Ok(Attempt::Waiting(remaining)) => wait = Some((view.latest_term(), view::now().mono + remaining)),
                     Ok(Attempt::Conflict) => {}
                     Err(e) => log::warn!(error:% = e; "can't begin a term"),
@@ -112,7 +116,9 @@
         {
             continue;
         }
-        view.wait_for_probe().await;
+        // The strongest entries, which take over first, probe more often while the scheduler's lease may lapse.
+        let is_watching = scheduler.has_lost_scheduler() && view.takeover_delay() == Some(Millis(0));
+        view.wait_for_probe(if is_watching { WATCH_INTERVAL } else { PROBE_INTERVAL }).await;
     }
 }
 
@@ -136,7 +142,7 @@
     end_lease(term).await;
 }
 
-fn run_term(term: Term, scheduler: Arc<SchedulerClient>, earlier: Option<LastScheduler>) {
+fn run_term(term: Term, scheduler: Arc<SchedulerClient>, earlier: Earlier) {
     let term = Arc::new(term);
     let successors = term.succession().successors().len();
     log::info!(term = term.owner.term, token = term.revision.0, successors = successors; "term begun");
@@ -146,7 +152,9 @@
         return term.end("another entry has begun a later term");
     }
     let announcement = (Arc::clone(&scheduler), Arc::clone(&term));
-    task::spawn(async move { announcement.0.announce_term(&announcement.1, earlier).await });
+    task::spawn(async move {
+        announcement.0.announce_term(&announcement.1, earlier.last, earlier.last_stop).await;
+    });
     task::spawn(confirm_by_others(Arc::clone(&term), Arc::clone(&scheduler)));
     task::spawn(succession::keep(Arc::clone(&term), Arc::clone(&scheduler)));
     task::spawn(renew(Arc::clone(&term), scheduler));
@@ -194,10 +202,18 @@
     }
 }
 
+/// What is known of the schedulers before a new term.
+struct Earlier {
+    /// The scheduler of the last term; `None` for the first term.
+    last: Option<LastScheduler>,
+    /// What tells when it stops by itself, if its lease lapsed and those before it have stopped.
+    last_stop: Option<LastStop>,
+}
+
 /// Outcome of an attempt to begin a term.
 enum Attempt {
-    /// The term, and the scheduler of the term before it.
-    Begun(Box<Term>, Option<LastScheduler>),
+    /// The term, and the schedulers before it.
+    Begun(Box<Term>, Box<Earlier>),
     /// This entry may begin a term after this time.
     Waiting(Millis),
     /// Another entry was faster.
@@ -215,9 +231,10 @@
     // The caller begins a term only if there is no scheduler, or if the scheduler's key is of an earlier incarnation of
     // this entry. A known scheduler is therefore that incarnation.
     let is_own_stale_key = view.scheduler().is_some();
-    let (owner, released, earlier, succession) = futures::try_join!(
+    let (owner, released, relieved, earlier, succession) = futures::try_join!(
         store.get(SCHEDULER_KEY, STORE_TIMEOUT),
         store.get(RELEASED_TERM_KEY, STORE_TIMEOUT),
+        store.get(RELIEVED_TERM_KEY, STORE_TIMEOUT),
         store.get(LAST_SCHEDULER_KEY, STORE_TIMEOUT),
         store.get(SUCCESSION_KEY, STORE_TIMEOUT)
     )?;
@@ -225,10 +242,11 @@
     if owner.is_some_and(|item| item.value.is_some() && item.revision != view.scheduler_revision()) {
         return Ok(Attempt::Conflict);
     }
-    let released = match released {
-        Some(Item { value: Some(value), .. }) => Some(records::decode::<u32>(&value)?),
-        _ => None,
+    let decode_term = |item: Option<Item>| match item {
+        Some(Item { value: Some(value), .. }) => records::decode::<u32>(&value).map(Some),
+        _ => Ok(None),
     };
+    let (released, relieved) = (decode_term(released)?, decode_term(relieved)?);
     let earlier = match earlier {
         Some(Item { value: Some(value), .. }) => Some(records::decode::<LastScheduler>(&value)?),
         _ => None,
@@ -240,6 +258,7 @@
     // A scheduler that recorded its release, or an earlier incarnation of this entry, gives no more VM orders.
     let may_order_vms_at_once = count == 0 || is_own_stale_key || released == Some(count - 1);
     let mut have_all_stopped = count == 0;
+    let mut last_stop = None;
     if let Some(last) = count.checked_sub(1) {
         view.record_term(last);
         // The last scheduler acts no more if it has recorded its release, or if it was this entry. It was of a version
@@ -250,7 +269,7 @@
         have_all_stopped = released == Some(last)
             || (was_own
                 && earlier.as_ref().is_some_and(|e| e.have_earlier_stopped && e.owner.incarnation != incarnation));
-        let delay = match succession {
+        let delay = match &succession {
             _ if has_stopped => Millis(0),
             Some(Ok(s)) if s.term == last => s.delay_of(&view.settings.peers),
             Some(Ok(_)) | None => Millis(0),
@@ -264,8 +283,20 @@
             log::info!(term = last, remaining_ms = remaining.0; "there is no scheduler; its successors come first");
             return Ok(Attempt::Waiting(remaining));
         }
+        // If the key ended for another reason than that its lease lapsed, the lease may have been renewed just before.
+        let has_lapsed = !has_stopped && !is_own_stale_key && relieved != Some(last);
+        if let (true, Some(Ok(succession)), Some(earlier), Some(lapsed_by)) =
+            (has_lapsed, &succession, &earlier, vacancy.since(count))
+            && earlier.owner.term == last
+            && earlier.have_earlier_stopped
+            && succession.term == last
+        {
+            last_stop = earlier.lease.and_then(|lease| LastStop::new(lapsed_by, lease, succession));
+        }
     }
-    let lease = store.grant_lease(TERM_LEASE.max(view.settings.min_store_lease.to_duration()), STORE_TIMEOUT).await?;
+    let lease_length = lease_length(view);
+    let requested = view::now().mono;
+    let lease = store.grant_lease(lease_length.to_duration(), STORE_TIMEOUT).await?;
     let owner = Owner {
         entry: view.settings.entry.clone(),
         peers: view.settings.peers,
@@ -282,6 +313,7 @@
         owner: owner.clone(),
         have_earlier_stopped: have_all_stopped,
         heeds_job_terms: do_earlier_heed_terms,
+        lease: Some(lease_length),
     };
     let change = Change {
         expected: vec![
@@ -297,7 +329,6 @@
         ],
         deletes: Vec::new(),
     };
-    let asked = view::now().mono;
     view.record_attempted_term(count);
     let revision = match store.change(&change, STORE_TIMEOUT).await {
         Ok(ChangeOutcome::Done(revision)) => revision,
@@ -329,12 +360,20 @@
     if do_earlier_heed_terms {
         scheduler.record_earlier_heed_terms();
     }
-    let term = Term::new(owner, revision, lease, Arc::clone(view), scheduler, succession, may_order_vms_at_once);
-    term.record_stored(asked);
+    let view = Arc::clone(view);
+    let lease = GrantedLease { id: lease, requested };
+    let term = Term::new(owner, revision, lease, view, scheduler, succession, may_order_vms_at_once);
+    // Not as of the change that began the term: the lease may lapse as early as if it had not been renewed since then.
+    term.record_stored(requested);
     if have_all_stopped {
         term.record_previous_stopped();
     }
-    Ok(Attempt::Begun(Box::new(term), earlier))
+    Ok(Attempt::Begun(Box::new(term), Box::new(Earlier { last: earlier, last_stop })))
+}
+
+/// Length of the lease of a term that this entry begins.
+fn lease_length(view: &View) -> Millis {
+    TERM_LEASE.max(view.settings.min_store_lease)
 }
 
 async fn end_unused_lease(view: &View, lease: LeaseId) {
@@ -379,12 +418,8 @@
 async fn confirm_by_others(term: Arc<Term>, scheduler: Arc<SchedulerClient>) {
     while !term.is_ended() {
         if term.confirmation_age() >= CONFIRMATION_AGE {
-            let asked = view::now().mono;
-            match scheduler.ask_about_term(&term).await {
-                TermState::Over => return term.end("another entry knows that the term is over"),
-                TermState::Proved(age) => term.record_stored(MonoTime(asked.0.saturating_sub(age.0))),
-                TermState::Confirmed(age) => term.record_confirmation(MonoTime(asked.0.saturating_sub(age.0))),
-                TermState::Unconfirmed => {}
+            if scheduler.ask_about_term(&term).await == TermState::Over {
+                return term.end("another entry knows that the term is over");
             }
             term.log_confirmation();
         }
@@ -398,7 +433,12 @@
     if term.owner.term == 0 {
         return;
     }
-    let last = LastScheduler { owner: term.owner.clone(), have_earlier_stopped: true, heeds_job_terms: true };
+    let last = LastScheduler {
+        owner: term.owner.clone(),
+        have_earlier_stopped: true,
+        heeds_job_terms: true,
+        lease: Some(lease_length(&term.view)),
+    };
     let change = Change {
         expected: vec![(SCHEDULER_KEY.to_owned(), term.revision)],
         puts: vec![(LAST_SCHEDULER_KEY.to_owned(), records::encode(&last), None)],
--- a/crates/carawaybarrow/src/node/peers.rs
+++ b/crates/carawaybarrow/src/node/peers.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use async_std::{future, task};
@@ -10,17 +10,18 @@
 use carawaybarrow_core::sched::candidacy::{ReliefAnswer, ReliefOutcome, TermAnswer, TermState};
 use carawaybarrow_core::sched::graph::{JobKey, QueueName};
 use carawaybarrow_core::sched::progress::{JobRecord, JobState};
-use carawaybarrow_core::units::Millis;
-use carawaybarrow_platform::store::LeaseId;
+use carawaybarrow_core::sched::takeover::LastStop;
+use carawaybarrow_core::units::{Millis, MonoTime};
+use carawaybarrow_platform::store::{Change, ChangeOutcome, LeaseId};
 use http_types::Method;
 use serde::{Deserialize, Serialize};
 use tide::{Request, Response, StatusCode};
 
 use crate::http_client::{Call, Client};
 use crate::node::election;
-use crate::node::records::{self, LastScheduler, Owner};
+use crate::node::records::{self, LastScheduler, Owner, RELIEVED_TERM_KEY, SCHEDULER_KEY};
 use crate::node::term::Term;
-use crate::node::view::View;
+use crate::node::view::{self, View};
 
 /// Time for an answer of the scheduler. Without one, the state of a job is read from the store.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
@@ -36,6 +37,9 @@
 /// that have not answered.
 const ANNOUNCE_LIMIT: Duration = Duration::from_secs(10);
 
+/// Time after the first failed call to the scheduler in which its lease lapses if its process has ended, with a margin.
+const LAPSE_WATCH: Millis = Millis(3_000);
+
 /// Status of an entry that is told of a later term: its own term has ended, and all schedulers before it had stopped.
 const ALL_STOPPED: u16 = 200;
 
@@ -59,6 +63,9 @@
     /// Start of its process in Unix ms; `None` for an entry of an earlier version.
     #[serde(default)]
     incarnation: Option<u64>,
+    /// Time for which it has confirmed no term; `None` for an entry of an earlier version.
+    #[serde(default)]
+    without_confirmation: Option<Millis>,
 }
 
 /// Request of a stronger entry that the scheduler ends its term.
@@ -93,21 +100,22 @@
 pub struct SchedulerClient {
     client: Client,
     view: Arc<View>,
-    is_scheduler_lost: AtomicBool,
+    /// Time in ms since which calls to the scheduler fail; 0 if the last one succeeded.
+    scheduler_lost_at: AtomicU64,
 }
 
 impl SchedulerClient {
     /// Creates a client; `name` is sent in the headers of its calls.
     #[must_use]
     pub fn new(view: Arc<View>, name: &str) -> Self {
-        Self { client: Client::new(name), view, is_scheduler_lost: AtomicBool::new(false) }
+        Self { client: Client::new(name), view, scheduler_lost_at: AtomicU64::new(0) }
     }
 
     async fn call(&self, call: &Call) -> Option<crate::http_client::Reply> {
         let address = self.view.scheduler()?.peers;
         let failure = match self.client.call(address, call, ANSWER_TIMEOUT).await {
             Ok(reply) if reply.status == 200 => {
-                if self.is_scheduler_lost.swap(false, Ordering::SeqCst) {
+                if self.scheduler_lost_at.swap(0, Ordering::SeqCst) != 0 {
                     log::info!(scheduler:% = address; "scheduler regained");
                 }
                 return Some(reply);
@@ -115,12 +123,22 @@
             Ok(reply) => format!("status {}", reply.status),
             Err(e) => e.to_string(),
         };
-        if !self.is_scheduler_lost.swap(true, Ordering::SeqCst) {
+        let lost_at = view::now().mono.0.max(1);
+        if self.scheduler_lost_at.compare_exchange(0, lost_at, Ordering::SeqCst, Ordering::SeqCst).is_ok() {
+            // A successor should not notice late that the lease has lapsed.
+            self.view.request_probe();
             log::warn!(scheduler:% = address, error = failure; "scheduler lost");
         }
         None
     }
 
+    /// Whether calls to the scheduler have begun to fail recently, so that its lease may lapse soon.
+    #[must_use]
+    pub fn has_lost_scheduler(&self) -> bool {
+        let lost_at = MonoTime(self.scheduler_lost_at.load(Ordering::SeqCst));
+        lost_at.0 != 0 && view::now().mono.since(lost_at) < LAPSE_WATCH
+    }
+
     /// Notifies the scheduler of a new job. If the call fails, the scheduler receives the job from its watch of the
     /// store.
     pub async fn push_job(&self, job: &JobKey, record: JobRecord, created: u64) {
@@ -182,25 +200,24 @@
         outcome
     }
 
-    /// Asks other entries whether a term goes on: first the possible successors, and then all, unless the successors are
-    /// enough.
+    /// Asks other entries whether a term goes on, and records it: first the possible successors, and then all, unless the
+    /// successors are enough.
     pub async fn ask_about_term(&self, term: &Term) -> TermState {
         let succession = term.succession();
-        let (age, stored_age) = (term.age(), term.stored_age());
-        let asked = Instant::now();
+        let asked = term.begin_asking();
         let mut answers = self.ask_entries(term, &succession.successors()).await;
-        let mut state = succession.judge(&answers, age, stored_age);
+        let state = succession.judge(&answers, asked.term_age, asked.stored_age);
         if matches!(state, TermState::Unconfirmed | TermState::Confirmed(Millis(1..))) {
             let others: Vec<SocketAddr> =
                 succession.entries().into_iter().filter(|entry| !answers.contains_key(entry)).collect();
             answers.extend(self.ask_entries(term, &others).await);
-            state = succession.judge(&answers, age, stored_age);
         }
+        let state = term.apply_answers(&answers, asked);
         let count = |answer| answers.values().filter(|a| **a == answer).count();
         log::info!(
             term = term.owner.term, entries = answers.len(), store_lost = count(TermAnswer::StoreLost),
             silent = count(TermAnswer::Silent), unknown = count(TermAnswer::Unknown), state:? = state,
-            took:? = asked.elapsed();
+            took:% = view::now().mono.since(asked.at);
             "other entries asked about the term"
         );
         state
@@ -225,7 +242,15 @@
     /// Tells the other entries, and the scheduler of the earlier term, that a later term has begun, until each answers. The
     /// earlier scheduler may have lost the store and not know of the end of its term; it asks entries that may have lost
     /// the store too.
-    pub async fn announce_term(&self, term: &Term, earlier: Option<LastScheduler>) {
+    ///
+    /// If `last_stop` is given, the answers of all entries that may have confirmed the earlier term tell when its scheduler
+    /// stops, should it give no answer itself.
+    pub async fn announce_term(
+        &self,
+        term: &Arc<Term>,
+        earlier: Option<LastScheduler>,
+        mut last_stop: Option<LastStop>,
+    ) {
         let earlier = earlier.filter(|e| e.owner.entry != term.owner.entry);
         // A process that answers at its address shows that the one of the earlier scheduler has ended, and with it all that
         // might act, if the schedulers before it had stopped.
@@ -240,6 +265,10 @@
         peers.extend(earlier.filter(|e| !peers.contains(e)));
         // The earlier scheduler comes first, as this one waits until it has stopped.
         peers.sort_by_key(|peer| earlier != Some(*peer));
+        if let Some(last_stop) = &mut last_stop {
+            let own = self.view.settings.peers;
+            last_stop.apply_answer(&own, view::now().mono, Some(self.view.time_without_confirmation()));
+        }
         let began = Instant::now();
         let count = peers.len();
         while !peers.is_empty() && began.elapsed() < ANNOUNCE_LIMIT && !term.is_ended() {
@@ -247,17 +276,23 @@
             for few in peers.chunks(ANNOUNCED_AT_ONCE) {
                 let answers =
                     futures::future::join_all(few.iter().map(|peer| self.announce_term_to(*peer, term))).await;
+                let received = view::now().mono;
                 for (peer, answer) in few.iter().zip(answers) {
-                    match answer {
-                        Some((status, answer)) if earlier == Some(*peer) => {
-                            if status == ALL_STOPPED || is_replaced(&answer) {
-                                term.record_previous_stopped();
-                            }
-                        }
-                        Some(_) => {}
-                        None => silent.push(*peer),
+                    let Some((status, answer)) = answer else {
+                        silent.push(*peer);
+                        continue;
+                    };
+                    if earlier == Some(*peer) && (status == ALL_STOPPED || is_replaced(&answer)) {
+                        term.record_previous_stopped();
+                    }
+                    if let Some(last_stop) = &mut last_stop {
+                        last_stop.apply_answer(peer, received, answer.without_confirmation);
                     }
                 }
+                if let Some(stops_by) = last_stop.as_ref().and_then(LastStop::stops_by) {
+                    last_stop = None;
+                    task::spawn(record_stop_at(Arc::clone(term), stops_by));
+                }
                 task::sleep(ANNOUNCE_PAUSE).await;
             }
             peers = silent;
@@ -293,6 +328,14 @@
     }
 }
 
+/// Records that the last scheduler has stopped once it has.
+async fn record_stop_at(term: Arc<Term>, stops_by: MonoTime) {
+    let remaining = stops_by.since(view::now().mono);
+    log::info!(term = term.owner.term, remaining_ms = remaining.0; "the earlier scheduler gives no answer and stops by itself");
+    task::sleep(remaining.to_duration()).await;
+    term.record_previous_stopped();
+}
+
 /// Adds the routes on which other entries call the scheduler.
 pub fn add_routes(app: &mut tide::Server<Arc<View>>) {
     app.at("/jobs/:job").put(put_job).delete(delete_job).get(get_job);
@@ -382,9 +425,21 @@
     if !view.reaches_store() || view.is_stopping() {
         return Ok(Response::new(StatusCode::ServiceUnavailable));
     }
+    // Without this record, the next scheduler would assume that the lease lapsed because it was not renewed.
+    let Some(term) = requested_term else { return Ok(Response::new(StatusCode::BadRequest)) };
+    let change = Change {
+        expected: vec![(SCHEDULER_KEY.to_owned(), view.scheduler_revision())],
+        puts: vec![(RELIEVED_TERM_KEY.to_owned(), records::encode(&term), None)],
+        deletes: Vec::new(),
+    };
+    let outcome = view.store.change(&change, RELIEF_TIMEOUT).await;
+    if !matches!(outcome, Ok(ChangeOutcome::Done(_))) {
+        log::info!(term = term, answer:? = outcome; "the relief of another scheduler can't be recorded");
+        return Ok(Response::new(StatusCode::ServiceUnavailable));
+    }
     Ok(match view.store.end_lease(LeaseId(relief.lease), RELIEF_TIMEOUT).await {
         Ok(()) => {
-            log::warn!(term = requested_term.unwrap_or(0); "lease of a scheduler that has lost the store ended");
+            log::warn!(term = term; "lease of a scheduler that has lost the store ended");
             view.request_probe();
             Response::new(StatusCode::Ok)
         }
@@ -402,7 +457,7 @@
 /// Answers what this entry knows of a term.
 async fn get_term(req: Request<Arc<View>>) -> tide::Result {
     let Some(term) = term_param(&req) else { return Ok(Response::new(StatusCode::BadRequest)) };
-    Ok(json_response(&req.state().judge_term(term)))
+    Ok(json_response(&req.state().answer_about_term(term)))
 }
 
 /// Records that a later term has begun, and ends the term of this entry if it is an earlier one.
@@ -416,7 +471,9 @@
     // The scheduler before the one of this entry may still act if that one's term was short. Terms are numbered without
     // gaps.
     let has_stopped = begun.checked_sub(1).is_some_and(|term| view.has_stopped_with_earlier(term));
-    let mut res = json_response(&BegunAnswer { incarnation: Some(view.incarnation) });
+    // The later term is recorded, so this entry confirms no earlier one from now on.
+    let without_confirmation = Some(view.time_without_confirmation());
+    let mut res = json_response(&BegunAnswer { incarnation: Some(view.incarnation), without_confirmation });
     res.set_status(if has_stopped { StatusCode::Ok } else { StatusCode::Accepted });
     Ok(res)
 }
--- a/crates/carawaybarrow/src/node/records.rs
+++ b/crates/carawaybarrow/src/node/records.rs
@@ -5,6 +5,7 @@
 use carawaybarrow_core::sched::candidacy::Strength;
 use carawaybarrow_core::sched::graph::{JobKey, PoolName, Resources, VmKey, WorkerKey};
 use carawaybarrow_core::sched::order::WorkerReport;
+use carawaybarrow_core::units::Millis;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -25,6 +26,9 @@
 /// Key of the number of the last term that was released: its scheduler stopped and gives no more VM orders.
 pub const RELEASED_TERM_KEY: &str = "scheduler/released";
 
+/// Key of the number of the last term whose lease another entry ended, as its scheduler had lost the store.
+pub const RELIEVED_TERM_KEY: &str = "scheduler/relieved";
+
 /// Key of the recovery set: the workers that may hold runs of earlier terms.
 pub const RECOVERY_SET_KEY: &str = "scheduler/roster";
 
@@ -131,6 +135,10 @@
     /// Whether it and all schedulers before it start no job that names a later term. Earlier versions did not.
     #[serde(default)]
     pub heeds_job_terms: bool,
+    /// Length of its lease, if nothing confirms its term but renewals of that lease and entries that its stored succession
+    /// names. `None` for earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lease: Option<Millis>,
 }
 
 /// A worker of the stored recovery set.
--- a/crates/carawaybarrow/src/node/term.rs
+++ b/crates/carawaybarrow/src/node/term.rs
@@ -1,5 +1,6 @@
 //! A term of the scheduler: its state, and the orders that it sends to workers.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -7,6 +8,7 @@
 use async_std::task;
 use carawaybarrow_core::Map;
 use carawaybarrow_core::sched::advice::StepName;
+use carawaybarrow_core::sched::candidacy::{TermAnswer, TermState};
 use carawaybarrow_core::sched::event::Event;
 use carawaybarrow_core::sched::graph::{JobKey, TaskName, WorkerKey};
 use carawaybarrow_core::sched::order::{Order, StartAnswer};
@@ -87,6 +89,8 @@
     ended: AtomicBool,
     /// Time at which the last renewal of the lease was sent, in ms; 0 if it failed.
     renewed_at: AtomicU64,
+    /// Time in ms at which the request for the lease, or the last renewal that succeeded, was sent.
+    lease_began: AtomicU64,
     /// Whether the term was confirmed at the last check.
     was_confirmed: AtomicBool,
     write_notify: Notify,
@@ -95,13 +99,33 @@
     previous_stopped_notify: Notify,
 }
 
+/// A lease of the store.
+#[derive(Clone, Copy, Debug)]
+pub struct GrantedLease {
+    /// Id.
+    pub id: LeaseId,
+    /// Time at which the request for it was sent.
+    pub requested: MonoTime,
+}
+
+/// State of a term when other entries were asked about it.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked {
+    /// Time of the questions.
+    pub at: MonoTime,
+    /// Age of the term.
+    pub term_age: Millis,
+    /// Time since the store was last known to hold the term.
+    pub stored_age: Millis,
+}
+
 impl Term {
     /// Begins a term.
     #[must_use]
     pub fn new(
         owner: Owner,
         revision: StoreRevision,
-        lease: LeaseId,
+        lease: GrantedLease,
         view: Arc<View>,
         scheduler: Scheduler,
         succession: Succession,
@@ -112,7 +136,7 @@
         Self {
             owner,
             revision,
-            lease,
+            lease: lease.id,
             view,
             workers,
             advice,
@@ -127,6 +151,7 @@
             evacuations_start: AtomicU64::new(0),
             ended: AtomicBool::new(false),
             renewed_at: AtomicU64::new(view::now().mono.0),
+            lease_began: AtomicU64::new(lease.requested.0),
             was_confirmed: AtomicBool::new(true),
             write_notify: Notify::new(),
             plan_notify: Notify::new(),
@@ -180,13 +205,14 @@
     /// Records that the store confirmed a renewal of the lease that was sent at a time.
     pub fn record_renewal(&self, sent: MonoTime) {
         self.renewed_at.store(sent.0, Ordering::SeqCst);
+        self.lease_began.fetch_max(sent.0, Ordering::SeqCst);
         self.record_stored(sent);
     }
 
     /// Records that the store held this term at a time.
     pub fn record_stored(&self, at: MonoTime) {
         self.stored_at.fetch_max(at.0, Ordering::SeqCst);
-        self.record_confirmation(at);
+        self.with(|s| s.confirm(at));
     }
 
     /// Time since the store is last known to have held this term.
@@ -202,12 +228,39 @@
     }
 
     /// Records that a write of a later succession is sent. Returns the revision that its key must still have.
+    ///
+    /// If it leaves out an entry, the next scheduler will not ask that one when it confirmed this term, so what others have
+    /// confirmed since the last renewal no longer counts.
     pub fn record_succession_write(&self, succession: Succession) -> StoreRevision {
         let mut known = self.succession.lock().expect("no holder panics");
+        if known.0.entries().iter().any(|entry| !succession.names(entry)) {
+            let renewed = MonoTime(self.lease_began.load(Ordering::SeqCst));
+            self.with(|s| s.withdraw_confirmations_after(renewed));
+        }
         known.0.record_write(succession);
         known.1
     }
 
+    /// State of the term for questions that are sent now.
+    #[must_use]
+    pub fn begin_asking(&self) -> Asked {
+        Asked { at: view::now().mono, term_age: self.age(), stored_age: self.stored_age() }
+    }
+
+    /// Judges what other entries answered to questions that were sent at `asked`, and records it if it confirms the term.
+    /// No write of another succession is sent meanwhile.
+    pub fn apply_answers(&self, answers: &Map<SocketAddr, TermAnswer>, asked: Asked) -> TermState {
+        let known = self.succession.lock().expect("no holder panics");
+        let state = known.0.judge(answers, asked.term_age, asked.stored_age);
+        let as_of = |age: Millis| MonoTime(asked.at.0.saturating_sub(age.0));
+        match state {
+            TermState::Proved(age) => self.record_stored(as_of(age)),
+            TermState::Confirmed(age) => self.with(|s| s.confirm(as_of(age))),
+            TermState::Over | TermState::Unconfirmed => {}
+        }
+        state
+    }
+
     /// Records the succession that the store holds, and the revision of its key.
     pub fn record_stored_succession(&self, succession: Succession, revision: StoreRevision) {
         let mut known = self.succession.lock().expect("no holder panics");
@@ -215,11 +268,6 @@
         known.1 = revision;
     }
 
-    /// Records that no later term had begun at a time, according to the store or to all other entries.
-    pub fn record_confirmation(&self, at: MonoTime) {
-        self.with(|s| s.confirm(at));
-    }
-
     /// Time since the term was last confirmed.
     #[must_use]
     pub fn confirmation_age(&self) -> Millis {
--- a/crates/carawaybarrow/src/node/view.rs
+++ b/crates/carawaybarrow/src/node/view.rs
@@ -9,6 +9,7 @@
 use carawaybarrow_core::sched::candidacy::TermAnswer;
 use carawaybarrow_core::sched::scheduler::Now;
 use carawaybarrow_core::sched::succession::Candidate;
+use carawaybarrow_core::sched::takeover::GivenConfirmations;
 use carawaybarrow_core::units::{Millis, MonoTime};
 use carawaybarrow_platform::configuration::{self, Configuration};
 use carawaybarrow_platform::settings::Settings;
@@ -90,6 +91,7 @@
     attempted_term: Mutex<Option<u32>>,
     /// Last term of this entry that has ended, and whether all schedulers before it had stopped by then.
     ended_term: Mutex<Option<(u32, bool)>>,
+    confirmations: Mutex<GivenConfirmations>,
     probe_request: Notify,
 }
 
@@ -109,6 +111,7 @@
             stopping: AtomicBool::new(false),
             attempted_term: Mutex::default(),
             ended_term: Mutex::default(),
+            confirmations: Mutex::new(GivenConfirmations::new(clock::boot_now())),
             probe_request: Notify::new(),
         }
     }
@@ -166,6 +169,24 @@
         *self.ended_term.lock().expect("no holder panics") == Some((term, true))
     }
 
+    /// Answers a scheduler what this entry knows of its term.
+    #[must_use]
+    pub fn answer_about_term(&self, term: u32) -> TermAnswer {
+        // Locked before the judgement, so that an entry that says for how long it has confirmed no term leaves none out.
+        let mut confirmations = self.confirmations.lock().expect("no holder panics");
+        let answer = self.judge_term(term);
+        if matches!(answer, TermAnswer::Current { .. } | TermAnswer::StoreLost) {
+            confirmations.record(clock::boot_now());
+        }
+        answer
+    }
+
+    /// Time for which this entry has confirmed no term.
+    #[must_use]
+    pub fn time_without_confirmation(&self) -> Millis {
+        self.confirmations.lock().expect("no holder panics").quiet(clock::boot_now())
+    }
+
     /// What this entry knows of a term.
     #[must_use]
     pub fn judge_term(&self, term: u32) -> TermAnswer {
@@ -226,10 +247,10 @@
         self.probe_request.notify();
     }
 
-    /// Waits until the next probe is due or requested.
-    pub async fn wait_for_probe(&self) {
+    /// Waits until the next probe is due after `interval`, or is requested.
+    pub async fn wait_for_probe(&self, interval: Duration) {
         // A timeout means that the probe is due.
-        let _ = future::timeout(PROBE_INTERVAL, self.probe_request.wait()).await;
+        let _ = future::timeout(interval, self.probe_request.wait()).await;
     }
 
     /// Addresses of the entries that are not clearly weaker than this one, the strongest first.
--- a/crates/carawaybarrow/tests/installation/mod.rs
+++ b/crates/carawaybarrow/tests/installation/mod.rs
@@ -98,6 +98,11 @@
         self.child = Some(child);
     }
 
+    /// What its processes have logged.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).expect("the log is readable")
+    }
+
     /// Sends a signal to the process, if it runs.
     pub fn signal(&self, name: &str) {
         let Some(child) = &self.child else { return };
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -19,6 +19,7 @@
 pub mod recovery;
 pub mod scheduler;
 pub mod succession;
+pub mod takeover;
 pub mod worker;
 pub mod writes;
 
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -223,6 +223,11 @@
         self.confirmed_at = self.confirmed_at.max(at);
     }
 
+    /// Withdraws confirmations as of times after a given one.
+    pub fn withdraw_confirmations_after(&mut self, at: MonoTime) {
+        self.confirmed_at = self.confirmed_at.min(at);
+    }
+
     /// Time at which this term was last known to be the latest one.
     #[must_use]
     pub const fn confirmed_at(&self) -> MonoTime {
--- a/crates/core/src/sched/succession.rs
+++ b/crates/core/src/sched/succession.rs
@@ -87,6 +87,12 @@
         Self { term, successors, listed: entries.collect() }
     }
 
+    /// Whether it names an entry.
+    #[must_use]
+    pub fn names(&self, entry: &SocketAddr) -> bool {
+        self.successors.contains(entry) || self.listed.contains(entry)
+    }
+
     /// Time without a scheduler after which an entry may begin the next term. A scheduler that knew no other entry, as at the
     /// start of an installation, can't tell whether an entry that is not listed is new.
     #[must_use]
@@ -161,7 +167,13 @@
     /// all listed entries confirm it until an unlisted one may have.
     #[must_use]
     pub fn judge(&self, answers: &Map<SocketAddr, TermAnswer>, term_age: Millis, store_age: Millis) -> TermState {
-        let given: Vec<TermAnswer> = answers.values().copied().collect();
+        // A later scheduler asks the entries of the stored succession when they last confirmed this term, so the proof of an
+        // entry that the stored one may lack must not count.
+        let counts = |entry: &SocketAddr, answer: TermAnswer| {
+            !matches!(answer, TermAnswer::Current { .. }) || self.possible().all(|s| s.names(entry))
+        };
+        let given: Vec<TermAnswer> =
+            answers.iter().filter(|(entry, answer)| counts(entry, **answer)).map(|(_, answer)| *answer).collect();
         let state = TermState::judge_proofs(&given, term_age);
         if state != TermState::Unconfirmed {
             return state;
@@ -211,4 +223,11 @@
             }
         }
     }
+
+    /// Time by which the last of `terms` terms was over; `None` if this entry has not found that there is no scheduler after
+    /// it.
+    #[must_use]
+    pub fn since(&self, terms: u32) -> Option<MonoTime> {
+        self.since.filter(|(known, _)| *known == terms).map(|(_, since)| since)
+    }
 }
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -8,6 +8,7 @@
 mod ends_random;
 mod evacuation;
 mod hopeless;
+mod last_stop;
 mod lifecycle;
 mod model;
 mod model_worker;
