Move VMs right after a change of scheduler

Cause: a new scheduler ordered no VM for 3 s, as two holders must not take turns at one VM within that time.

Change: the time holds for each VM by itself. A scheduler stores which VMs it is about to move, with those of the last 4 s, and orders the moves once the store has confirmed that (sched::vm_turns). The next one leaves these and the VMs of requested waves alone for 3 s and moves others at once, if their workers have answered. If the last one may have stored none, nothing is ordered for 3 s, as before. Without the condition on workers, the VMs that stay, or the record of earlier terms, one of the two tests of vm_turns.rs fails.

--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -14,6 +14,7 @@
 use carawaybarrow_core::sched::scheduler::Scheduler;
 use carawaybarrow_core::sched::succession::{Succession, UNLISTED_DELAY, Vacancy};
 use carawaybarrow_core::sched::takeover::LastStop;
+use carawaybarrow_core::sched::vm_turns::StoredMoves;
 use carawaybarrow_core::units::{Millis, MonoTime};
 use carawaybarrow_platform::configuration::{EVACUATION_PREFIX, evacuated_data_centre};
 use carawaybarrow_platform::store::{Change, ChangeOutcome, Item, LeaseId, StoreError, StoreRevision};
@@ -23,8 +24,9 @@
 use crate::node::records::{
     self, JOB_PREFIX, JobItem, LAST_SCHEDULER_KEY, LastScheduler, Owner, PROGRESS_PREFIX, QUEUE_POOLS_KEY,
     RECOVERY_SET_KEY, RELEASED_TERM_KEY, RELIEVED_TERM_KEY, SCHEDULER_KEY, SUCCESSION_KEY, TERM_COUNT_KEY,
+    VM_MOVES_KEY,
 };
-use crate::node::term::{GrantedLease, Term};
+use crate::node::term::{EarlierVmOrders, GrantedLease, Term};
 use crate::node::view::{self, PROBE_INTERVAL, View};
 use crate::node::{job_writer, store_watches, succession, vm_orders, worker_polls};
 
@@ -231,12 +233,13 @@
     // The caller begins a term only if there is no scheduler, or if the scheduler's key is of an earlier incarnation of
     // this entry. A known scheduler is therefore that incarnation.
     let is_own_stale_key = view.scheduler().is_some();
-    let (owner, released, relieved, earlier, succession) = futures::try_join!(
+    let (owner, released, relieved, earlier, succession, vm_moves) = futures::try_join!(
         store.get(SCHEDULER_KEY, STORE_TIMEOUT),
         store.get(RELEASED_TERM_KEY, STORE_TIMEOUT),
         store.get(RELIEVED_TERM_KEY, STORE_TIMEOUT),
         store.get(LAST_SCHEDULER_KEY, STORE_TIMEOUT),
-        store.get(SUCCESSION_KEY, STORE_TIMEOUT)
+        store.get(SUCCESSION_KEY, STORE_TIMEOUT),
+        store.get(VM_MOVES_KEY, STORE_TIMEOUT)
     )?;
     // The wait counts from a moment at which the last term of the count was over, so the key is read after the count.
     if owner.is_some_and(|item| item.value.is_some() && item.revision != view.scheduler_revision()) {
@@ -255,6 +258,10 @@
         Some(Item { value: Some(value), revision, .. }) => (Some(records::decode::<Succession>(&value)), revision),
         _ => (None, StoreRevision::ABSENT),
     };
+    let (vm_moves, vm_moves_revision) = match vm_moves {
+        Some(Item { value: Some(value), revision, .. }) => (decode_vm_moves(&value), revision),
+        _ => (None, StoreRevision::ABSENT),
+    };
     // A scheduler that recorded its release, or an earlier incarnation of this entry, gives no more VM orders.
     let may_order_vms_at_once = count == 0 || is_own_stale_key || released == Some(count - 1);
     let mut have_all_stopped = count == 0;
@@ -309,6 +316,7 @@
     // If the last schedulers have stopped, it doesn't matter whether they would have.
     let is_last_heeding = |e: &LastScheduler| e.heeds_job_terms && e.owner.term.checked_add(1) == Some(count);
     let do_earlier_heed_terms = have_all_stopped || earlier.as_ref().is_some_and(is_last_heeding);
+    let vm_moves = StoredMoves::for_next(vm_moves.as_ref(), count);
     let last_scheduler = LastScheduler {
         owner: owner.clone(),
         have_earlier_stopped: have_all_stopped,
@@ -320,12 +328,15 @@
             (SCHEDULER_KEY.to_owned(), view.scheduler_revision()),
             (TERM_COUNT_KEY.to_owned(), terms_revision),
             (SUCCESSION_KEY.to_owned(), succession_revision),
+            // The last scheduler may have stored further moves since.
+            (VM_MOVES_KEY.to_owned(), vm_moves_revision),
         ],
         puts: vec![
             (SCHEDULER_KEY.to_owned(), records::encode(&owner), Some(lease)),
             (TERM_COUNT_KEY.to_owned(), records::encode(&(count + 1)), None),
             (LAST_SCHEDULER_KEY.to_owned(), records::encode(&last_scheduler), None),
             (SUCCESSION_KEY.to_owned(), records::encode(&succession), None),
+            (VM_MOVES_KEY.to_owned(), records::encode(&vm_moves), None),
         ],
         deletes: Vec::new(),
     };
@@ -362,7 +373,8 @@
     }
     let view = Arc::clone(view);
     let lease = GrantedLease { id: lease, requested };
-    let term = Term::new(owner, revision, lease, view, scheduler, succession, may_order_vms_at_once);
+    let vm_orders = EarlierVmOrders { may_order_at_once: may_order_vms_at_once, moves: vm_moves };
+    let term = Term::new(owner, revision, lease, view, scheduler, succession, vm_orders);
     // Not as of the change that began the term: the lease may lapse as early as if it had not been renewed since then.
     term.record_stored(requested);
     if have_all_stopped {
@@ -371,6 +383,13 @@
     Ok(Attempt::Begun(Box::new(term), Box::new(Earlier { last: earlier, last_stop })))
 }
 
+/// Stored moves of VMs; `None`, after which any VM may have been moved, if they can't be read.
+fn decode_vm_moves(value: &[u8]) -> Option<StoredMoves> {
+    records::decode(value)
+        .inspect_err(|e| log::error!(error:% = e; "the stored moves of VMs can't be read; no VM is ordered at first"))
+        .ok()
+}
+
 /// Length of the lease of a term that this entry begins.
 fn lease_length(view: &View) -> Millis {
     TERM_LEASE.max(view.settings.min_store_lease)
--- a/crates/carawaybarrow/src/node/records.rs
+++ b/crates/carawaybarrow/src/node/records.rs
@@ -29,6 +29,9 @@
 /// Key of the number of the last term whose lease another entry ended, as its scheduler had lost the store.
 pub const RELIEVED_TERM_KEY: &str = "scheduler/relieved";
 
+/// Key of the [`StoredMoves`](carawaybarrow_core::sched::vm_turns::StoredMoves) of the last term that has begun.
+pub const VM_MOVES_KEY: &str = "scheduler/vm-moves";
+
 /// Key of the recovery set: the workers that may hold runs of earlier terms.
 pub const RECOVERY_SET_KEY: &str = "scheduler/roster";
 
--- a/crates/carawaybarrow/src/node/term.rs
+++ b/crates/carawaybarrow/src/node/term.rs
@@ -15,6 +15,7 @@
 use carawaybarrow_core::sched::progress::{JobRecord, Progress};
 use carawaybarrow_core::sched::scheduler::Scheduler;
 use carawaybarrow_core::sched::succession::{KnownSuccession, Succession};
+use carawaybarrow_core::sched::vm_turns::StoredMoves;
 use carawaybarrow_core::units::{Millis, MonoTime};
 use carawaybarrow_platform::advice::AdviceClient;
 use carawaybarrow_platform::store::{Item, LeaseId, StoreError, StoreRevision};
@@ -74,8 +75,8 @@
     advice: Option<AdviceClient>,
     /// Time at which the term began.
     began: MonoTime,
-    /// Whether the previous scheduler is known to give no more VM orders.
-    pub may_order_vms_at_once: bool,
+    /// What earlier schedulers have ordered about VMs.
+    pub earlier_vm_orders: EarlierVmOrders,
     /// Succession of this term, and the revision of its key.
     succession: Mutex<(KnownSuccession, StoreRevision)>,
     /// Last time in ms at which the store is known to have held this term.
@@ -108,6 +109,15 @@
     pub requested: MonoTime,
 }
 
+/// What earlier schedulers have ordered about VMs.
+#[derive(Clone, Debug)]
+pub struct EarlierVmOrders {
+    /// Whether the last one is known to give no more orders, so that this one may give any.
+    pub may_order_at_once: bool,
+    /// VMs that they may have moved, as stored when this term began.
+    pub moves: StoredMoves,
+}
+
 /// State of a term when other entries were asked about it.
 #[derive(Clone, Copy, Debug)]
 pub struct Asked {
@@ -129,7 +139,7 @@
         view: Arc<View>,
         scheduler: Scheduler,
         succession: Succession,
-        may_order_vms_at_once: bool,
+        earlier_vm_orders: EarlierVmOrders,
     ) -> Self {
         let workers = WorkerClient::new(&view.settings.entry);
         let advice = view.settings.advice.map(|address| AdviceClient::new(address, &view.settings.entry));
@@ -141,7 +151,7 @@
             workers,
             advice,
             began: view::now().mono,
-            may_order_vms_at_once,
+            earlier_vm_orders,
             succession: Mutex::new((KnownSuccession::new(succession), revision)),
             stored_at: AtomicU64::new(0),
             progress_revisions: Mutex::default(),
--- a/crates/carawaybarrow/src/node/vm_orders.rs
+++ b/crates/carawaybarrow/src/node/vm_orders.rs
@@ -7,7 +7,9 @@
 use carawaybarrow_core::Set;
 use carawaybarrow_core::sched::balance::BalanceState;
 use carawaybarrow_core::sched::candidacy::Strength;
+use carawaybarrow_core::sched::graph::VmKey;
 use carawaybarrow_core::sched::maintenance::{VM_CALL_LIMIT, Vm, VmAnswer, Wave, WaveProgress};
+use carawaybarrow_core::sched::vm_turns::{StoredMoves, VmTurns};
 use carawaybarrow_core::units::{Millis, MonoTime};
 use carawaybarrow_platform::configuration::WAVE_REQUEST_PREFIX;
 use carawaybarrow_platform::store::{Change, ChangeOutcome, StoreError, StoreRevision};
@@ -15,7 +17,7 @@
     LeaseHolder, VmClient, encode_wave_state, is_wave_complete, parse_wave_request, wave_status_key,
 };
 
-use crate::node::records::{self, SCHEDULER_KEY};
+use crate::node::records::{self, SCHEDULER_KEY, VM_MOVES_KEY};
 use crate::node::term::Term;
 use crate::node::view;
 
@@ -50,6 +52,10 @@
     let began = view::now().mono;
     let mut complete_waves: Set<u64> = Set::default();
     let mut waves: Vec<Wave> = Vec::new();
+    // VMs that any wave names; `None` until the requests were read.
+    let mut in_waves: Option<Set<VmKey>> = None;
+    let earlier = &term.earlier_vm_orders;
+    let mut turns = VmTurns::new(began, term.view.settings.bounds.order_lease, earlier.moves.clone());
     let mut balance = BalanceState::default();
     let mut waves_read_at = None;
     let mut listed: Vec<Vm> = Vec::new();
@@ -58,7 +64,7 @@
         let now = view::now().mono;
         if waves_read_at.is_none_or(|at| now.since(at) >= WAVE_INTERVAL) {
             waves_read_at = Some(now);
-            read_new_waves(&term, &mut waves, &complete_waves).await;
+            read_new_waves(&term, &mut waves, &complete_waves, &mut in_waves).await;
         }
         if now >= next_list {
             let requested = view::now().mono;
@@ -73,13 +79,20 @@
             next_list = view::now().mono + list_interval(&term.view.settings.strength, listed.len());
             term.with(|s| s.apply_vm_list(requested, view::now().mono, &listed));
         }
-        // An earlier scheduler may have given orders until just before this term.
-        let may_order =
-            term.may_order_vms_at_once || view::now().mono.since(began) >= term.view.settings.bounds.order_lease;
-        if !may_order {
+        // An earlier scheduler may have given orders until just before this term. It has stored which VMs it moved, but not
+        // which it ordered down for a wave.
+        let may_order_any = earlier.may_order_at_once || turns.has_passed(view::now().mono);
+        if !may_order_any {
+            if let (Some(moved), Some(in_waves)) = (turns.earlier(), &in_waves) {
+                balance.set_untouchable(Some(moved.union(in_waves).cloned().collect()));
+                if !move_vms(&term, &vms, &holder, &mut turns, &mut balance, &listed).await {
+                    return;
+                }
+            }
             task::sleep(DECISION_INTERVAL.to_duration()).await;
             continue;
         }
+        balance.set_untouchable(None);
         for wave in &mut waves {
             // The term may have ended during a call, or while the process was suspended. A later scheduler gives its first
             // orders 3 s after it began, and a call takes up to 1 s.
@@ -95,7 +108,7 @@
             }
         }
         waves.retain(|w| !complete_waves.contains(&w.request.number));
-        if !move_vms(&term, &vms, &holder, &mut balance, &listed).await {
+        if !move_vms(&term, &vms, &holder, &mut turns, &mut balance, &listed).await {
             return;
         }
         task::sleep(DECISION_INTERVAL.to_duration()).await;
@@ -114,6 +127,7 @@
     term: &Arc<Term>,
     vms: &VmClient,
     holder: &LeaseHolder,
+    turns: &mut VmTurns,
     balance: &mut BalanceState,
     listed: &[Vm],
 ) -> bool {
@@ -123,6 +137,13 @@
         return true;
     }
     let moves = term.with(|s| s.plan_moves(view::now().mono, balance, listed));
+    if moves.is_empty() {
+        return true;
+    }
+    if !store_moves(term, turns.record(view::now().mono, moves.iter().map(|m| m.vm.clone()))).await {
+        moves.iter().for_each(|planned| term.with(|s| s.apply_move_answer(balance, planned, VmAnswer::Refused)));
+        return true;
+    }
     let answers = moves.iter().map(|planned| vms.order_move(holder, &planned.vm, &planned.pool, VM_API_TIMEOUT));
     let answers = futures::future::join_all(answers).await;
     for (planned, (answer, error)) in moves.iter().zip(answers) {
@@ -137,12 +158,35 @@
     true
 }
 
-/// Adds the requested waves that are neither known nor complete.
-async fn read_new_waves(term: &Arc<Term>, waves: &mut Vec<Wave>, complete_waves: &Set<u64>) {
+/// Stores which VMs are moved, so that the next scheduler leaves them alone for a while. Returns whether the store confirmed the
+/// write.
+async fn store_moves(term: &Arc<Term>, moves: StoredMoves) -> bool {
+    let change = Change {
+        expected: vec![(SCHEDULER_KEY.to_owned(), term.revision)],
+        puts: vec![(VM_MOVES_KEY.to_owned(), records::encode(&moves), None)],
+        deletes: Vec::new(),
+    };
+    match term.view.store.change(&change, STORE_TIMEOUT).await {
+        Ok(ChangeOutcome::Done(_)) => true,
+        answer => {
+            log::info!(answer:? = answer; "moves are not stored, and not ordered");
+            false
+        }
+    }
+}
+
+/// Adds the requested waves that are neither known nor complete, and the VMs of all requested ones to `in_waves`.
+async fn read_new_waves(
+    term: &Arc<Term>,
+    waves: &mut Vec<Wave>,
+    complete_waves: &Set<u64>,
+    in_waves: &mut Option<Set<VmKey>>,
+) {
     let items = match term.view.store.list(WAVE_REQUEST_PREFIX, STORE_TIMEOUT).await {
         Ok((items, _)) => items,
         Err(e) => return log::info!(error:% = e; "the list of waves can't be read"),
     };
+    let in_waves = in_waves.get_or_insert_default();
     for item in items {
         let Some(value) = &item.value else { continue };
         let request = match parse_wave_request(value) {
@@ -152,6 +196,7 @@
                 continue;
             }
         };
+        in_waves.extend(request.vms.iter().cloned());
         if complete_waves.contains(&request.number) || waves.iter().any(|w| w.request.number == request.number) {
             continue;
         }
--- a/crates/core/src/sched/balance.rs
+++ b/crates/core/src/sched/balance.rs
@@ -5,11 +5,12 @@
 
 use std::collections::VecDeque;
 
-use crate::map::Map;
+use crate::map::{Map, Set};
 use crate::sched::graph::{PoolName, Resources, Step, VmKey, WorkerKey};
 use crate::sched::job::Lateness;
 use crate::sched::maintenance::{Vm, VmAnswer, VmState};
 use crate::sched::scheduler::Scheduler;
+use crate::sched::worker::Worker;
 use crate::units::{Millis, MonoTime};
 
 /// Time in which a pool should process its waiting tasks.
@@ -81,9 +82,22 @@
     moving: Map<VmKey, Moving>,
     ordered: VecDeque<MonoTime>,
     idle_since: Map<WorkerKey, MonoTime>,
+    /// VMs that must stay where they are, while earlier schedulers may have given orders about them; `None` after that.
+    untouchable: Option<Set<VmKey>>,
 }
 
 impl BalanceState {
+    /// Sets the VMs that must stay where they are because earlier schedulers may have given orders about them. Meanwhile no
+    /// other VM moves either before its worker has answered, as its runs are not known.
+    pub fn set_untouchable(&mut self, vms: Option<Set<VmKey>>) {
+        self.untouchable = vms;
+    }
+
+    fn may_touch(&self, vm: &Vm, worker: Option<&Worker>) -> bool {
+        let Some(untouchable) = &self.untouchable else { return true };
+        !untouchable.contains(&vm.key) && worker.is_none_or(|w| w.last_answer.is_some())
+    }
+
     fn record_order(&mut self, now: MonoTime, vm: &VmKey, pool: &PoolName) {
         self.moving.insert(vm.clone(), Moving { pool: pool.clone(), since: now });
         self.ordered.push_back(now);
@@ -308,7 +322,7 @@
             let is_idle = worker.is_some_and(|w| {
                 w.runs.is_empty() && !w.is_cordoned && !w.report.draining && !self.has_reservation(&w.report.key)
             });
-            if !is_standby && !is_idle {
+            if (!is_standby && !is_idle) || !balance.may_touch(vm, worker) {
                 continue;
             }
             let left = spare.entry(vm.pool.clone()).or_default();
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -20,6 +20,7 @@
 pub mod scheduler;
 pub mod succession;
 pub mod takeover;
+pub mod vm_turns;
 pub mod worker;
 pub mod writes;
 
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -25,3 +25,4 @@
 mod takeover;
 mod team_ceilings;
 mod unstored_ends;
+mod vm_turns;
