Refuse jobs at once while an entry knows that the store is lost

Cause: an entry that had lost the store tried to create each job there for 2 s and answered 504, after which callers can't send it again.

Change: while the last probe got no answer, an entry makes no attempt at the store itself and asks other entries, which refuse in the same state. If nothing was sent, the answer is 503, which is true, and the caller may try again. An entry that alone is cut off from the store reaches it through another one without waiting 0.7 s first.

--- a/crates/carawaybarrow/src/node/key_writes.rs
+++ b/crates/carawaybarrow/src/node/key_writes.rs
@@ -97,15 +97,22 @@
 
     /// Creates a key. Attempts are repeated, by this entry and by others, until the outcome is known or the time is
     /// over. Repetitions are harmless, as each has the condition that the key does not exist.
+    ///
+    /// An entry that has lost the store makes no attempt itself. If the others have lost it too, nothing was sent, so the
+    /// caller hears at once that the key was not created and may try again.
     pub async fn create(&self, key: String, value: Vec<u8>) -> CreateOutcome {
         let began = Instant::now();
         let peers = self.view.other_entries();
+        let mut others = peers.iter();
         let mut may_be_created = false;
         for attempt in 0.. {
             // The store may refuse this entry and serve others, so attempts alternate between this entry and others.
-            let outcome = match peers.get(attempt as usize / 2) {
-                Some(peer) if attempt % 2 == 1 => self.create_through_peer(*peer, &key, &value).await,
-                _ => create_directly(&self.view, &key, &value).await,
+            let has_lost_store = self.view.has_lost_store();
+            let other = if has_lost_store || attempt % 2 == 1 { others.next() } else { None };
+            let outcome = match other {
+                Some(peer) => self.create_through_peer(*peer, &key, &value).await,
+                None if has_lost_store => CreateOutcome::NotCreated,
+                None => create_directly(&self.view, &key, &value).await,
             };
             match outcome {
                 CreateOutcome::Created(_) | CreateOutcome::Exists => return outcome,
@@ -171,6 +178,11 @@
 
 async fn answer_write(mut req: Request<Arc<View>>) -> tide::Result {
     let request: CreateRequest = records::decode(&req.body_bytes().await?)?;
-    let reply = CreateReply::from(create_directly(req.state(), &request.key, &request.value).await);
+    let view = req.state();
+    let outcome = match view.has_lost_store() {
+        true => CreateOutcome::NotCreated,
+        false => create_directly(view, &request.key, &request.value).await,
+    };
+    let reply = CreateReply::from(outcome);
     Ok(Response::builder(StatusCode::Ok).body(records::encode(&reply)).build())
 }
--- a/crates/carawaybarrow/src/node/view.rs
+++ b/crates/carawaybarrow/src/node/view.rs
@@ -229,6 +229,12 @@
         self.stopping.load(Ordering::SeqCst)
     }
 
+    /// Whether the last probe of the store got no answer.
+    #[must_use]
+    pub fn has_lost_store(&self) -> bool {
+        self.probed().is_store_lost
+    }
+
     /// Whether the store has just answered this entry, so that the known scheduler is the present one.
     #[must_use]
     pub fn is_current(&self) -> bool {
