Keep no room for steps that wait for something else

Cause: a step that the ceiling of its team holds back fits on a worker now, so its reservation began at once and kept others from starting there. Found in a read of the change; only with `reservations` in the settings.

Change: room is kept only for starts that lie ahead. no_room_is_kept_for_tasks_that_the_ceiling_of_a_team_holds_back fails before.

--- a/crates/core/src/sched/reservation.rs
+++ b/crates/core/src/sched/reservation.rs
@@ -183,13 +183,14 @@
         let releases = planner.releases.get_or_insert_with(|| self.expected_releases(now, slots));
         let counts = self.count_runs_by_worker(&name.job, name.occurrence as usize, name.step as usize);
         let rooms = self.rooms(slots, releases, spec, &counts);
-        let places = if spec.gang {
+        let places: Vec<Place> = if spec.gang {
             self.find_gang_place(now, slots, &rooms, spec, waiting as u64, run_time).into_iter().collect()
         } else {
             find_places(now, &rooms, spec, waiting.min(planner.remaining))
         };
         let mut first = None;
-        for (at, chosen) in places {
+        // A step that fits now waits for something else, such as the ceiling of its team.
+        for (at, chosen) in places.into_iter().filter(|(at, _)| *at > now) {
             planner.remaining = planner.remaining.saturating_sub(1);
             first = first.min(Some(at)).or(Some(at));
             for (index, count) in chosen {
--- a/crates/core/tests/sched/reservations.rs
+++ b/crates/core/tests/sched/reservations.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use carawaybarrow_core::sched::event::Event;
-use carawaybarrow_core::sched::graph::{JobKey, JobSpec, QueueName, Step};
+use carawaybarrow_core::sched::graph::{JobKey, JobSpec, QueueName, Step, TeamName};
 use carawaybarrow_core::sched::policy::{Bounds, Policy, QueuePolicy};
 use carawaybarrow_core::sched::progress::JobState;
 use carawaybarrow_core::units::{Millis, WallTime};
@@ -252,3 +252,15 @@
     let waited = load.time_to_start("g", 6_000).expect("room is kept for the gang");
     assert!(waited <= 4_500, "{waited} ms");
 }
+
+/// Guards against room that stays idle for tasks that wait for the ceiling of their team, not for room.
+#[test]
+fn no_room_is_kept_for_tasks_that_the_ceiling_of_a_team_holds_back() {
+    let mut load = Load::new(8, PATIENT);
+    let team = Some(TeamName::new("t"));
+    // The ceiling is eight cores.
+    load.model.accept("t", JobSpec { team, ..job(vec![step(10, 1_000)]) });
+    load.model.run_for(200);
+    assert_eq!(load.model.count_running(), 8);
+    assert!(!load.events().iter().any(|e| matches!(e, Event::RoomReserved { .. })));
+}
