Probe the store less often the more entries watch a lost scheduler

Cause: once calls to the scheduler fail, each entry that no stronger one precedes probed the store each 100 ms. Where all 301 entries are equal, that is 3,000 probes a second, more than the store accepts.

Change: the interval is 3 ms for each other entry, between 100 and 500 ms, so equal entries make at most 333 probes a second together. At 34 entries nothing changes. Only a probe without an answer makes an entry refuse jobs at once.

--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -34,9 +34,13 @@
 /// outages; a longer one would leave the pools without a scheduler for longer after a failure.
 const TERM_LEASE: Millis = Millis(1_500);
 
-/// Time between probes of the store while the scheduler is lost and its lease may lapse.
+/// Minimum time between probes of the store while the scheduler is lost and its lease may lapse.
 const WATCH_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The same for each other entry. If all entries are equal, they make at most 333 probes a second together; 301 entries that
+/// probed each 100 ms used up the calls that the store accepts.
+const WATCH_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(3);
+
 /// Time between renewals. The lease survives two renewals that fail quickly.
 const RENEW_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -120,7 +124,7 @@
         }
         // The strongest entries, which take over first, probe more often while the scheduler's lease may lapse.
         let is_watching = scheduler.has_lost_scheduler() && view.takeover_delay() == Some(Millis(0));
-        view.wait_for_probe(if is_watching { WATCH_INTERVAL } else { PROBE_INTERVAL }).await;
+        view.wait_for_probe(if is_watching { watch_interval(&view) } else { PROBE_INTERVAL }).await;
     }
 }
 
@@ -390,6 +394,12 @@
         .ok()
 }
 
+/// Time between probes while the scheduler is lost.
+fn watch_interval(view: &View) -> Duration {
+    let others = u32::try_from(view.other_entries().len()).unwrap_or(u32::MAX);
+    (WATCH_INTERVAL_PER_ENTRY * others).clamp(WATCH_INTERVAL, PROBE_INTERVAL)
+}
+
 /// Length of the lease of a term that this entry begins.
 fn lease_length(view: &View) -> Millis {
     TERM_LEASE.max(view.settings.min_store_lease)
--- a/crates/carawaybarrow/src/node/view.rs
+++ b/crates/carawaybarrow/src/node/view.rs
@@ -13,7 +13,7 @@
 use carawaybarrow_core::units::{Millis, MonoTime};
 use carawaybarrow_platform::configuration::{self, Configuration};
 use carawaybarrow_platform::settings::Settings;
-use carawaybarrow_platform::store::{Change, ChangeOutcome, Item, StoreClient, StoreRevision};
+use carawaybarrow_platform::store::{Change, ChangeOutcome, Item, StoreClient, StoreError, StoreRevision};
 
 use crate::clock;
 use crate::node::metrics::NodeMetrics;
@@ -59,6 +59,8 @@
     /// Time at which the latest successful probe was sent.
     proved_at: Option<MonoTime>,
     is_store_lost: bool,
+    /// Whether the last probe got no answer. A store that refuses calls may still make a write.
+    is_store_silent: bool,
     /// Time at which the store answered again after it was lost.
     regained_at: Option<MonoTime>,
 }
@@ -232,7 +234,7 @@
     /// Whether the last probe of the store got no answer.
     #[must_use]
     pub fn has_lost_store(&self) -> bool {
-        self.probed().is_store_lost
+        self.probed().is_store_silent
     }
 
     /// Whether the store has just answered this entry, so that the known scheduler is the present one.
@@ -371,6 +373,7 @@
             Ok(ChangeOutcome::NoLease) => log::error!("the store reports a missing lease for a probe, which has none"),
             Err(e) => {
                 let mut probed = self.probed.write().expect("no holder panics");
+                probed.is_store_silent = !matches!(e, StoreError::Refused { .. });
                 if !probed.is_store_lost {
                     probed.is_store_lost = true;
                     log::warn!(error:% = e; "store lost");
@@ -407,6 +410,7 @@
         probed.proved_at = probed.proved_at.max(Some(sent));
         let version = probed.configuration.as_ref().map_or(0, |c| c.version);
         self.metrics.set_configuration(version, clock::boot_now().since(sent).0);
+        probed.is_store_silent = false;
         if std::mem::take(&mut probed.is_store_lost) {
             probed.regained_at = Some(clock::boot_now());
             log::info!("store regained");
