Test the rate of probes for a lost scheduler

Measured: entries_that_watch_a_lost_scheduler_share_a_rate_of_probes fails with a constant interval of 100 ms.

--- a/crates/core/src/sched/candidacy.rs
+++ b/crates/core/src/sched/candidacy.rs
@@ -12,9 +12,26 @@
 /// half a second, so entries that join and leave often must not cause one each time.
 pub const HANDOVER_AGE: Millis = Millis(3_000);
 
+/// Time between probes of the store by an entry. A change of the configuration is in force there after at most this time and
+/// one answer.
+pub const PROBE_INTERVAL: Millis = Millis(500);
+
+/// Minimum time between its probes while the scheduler is lost and its lease may lapse.
+const WATCH_INTERVAL: Millis = Millis(100);
+
+/// The same for each other entry. If all entries are equal, they make at most 340 probes a second together, or the usual number; 301 that
+/// probed each 100 ms used up the calls that the store accepts.
+const WATCH_INTERVAL_PER_ENTRY: Millis = Millis(3);
+
 /// CPU of an entry, in percent of another's, from which it counts as clearly stronger.
 const CLEARLY_STRONGER_PERCENT: u64 = 150;
 
+/// Time between probes by an entry that would take over at once, while the scheduler is lost. All entries may be among those.
+#[must_use]
+pub fn watch_interval(other_entries: usize) -> Millis {
+    Millis(WATCH_INTERVAL_PER_ENTRY.0.saturating_mul(other_entries as u64)).clamp(WATCH_INTERVAL, PROBE_INTERVAL)
+}
+
 /// Resources of an entry's VM that limit scheduling.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Strength {
--- a/crates/core/tests/sched/directory.rs
+++ b/crates/core/tests/sched/directory.rs
@@ -1,6 +1,6 @@
 //! The directory of workers, and which entry becomes the scheduler.
 
-use carawaybarrow_core::sched::candidacy::{Strength, TAKEOVER_DELAY};
+use carawaybarrow_core::sched::candidacy::{PROBE_INTERVAL, Strength, TAKEOVER_DELAY, watch_interval};
 use carawaybarrow_core::sched::directory::{Directory, WorkerChange};
 use carawaybarrow_core::sched::graph::WorkerKey;
 use carawaybarrow_core::units::{Millis, MonoTime};
@@ -79,3 +79,16 @@
     // More CPU with less bandwidth is not clearly stronger.
     assert!(!Strength { cpu: 500, link_kbps: 5_000 }.is_clearly_stronger_than(&weak));
 }
+
+/// Guards against entries that use up the calls of the store with probes while the scheduler is lost: in a sweep, 301 equal
+/// ones probed each 100 ms.
+#[test]
+fn entries_that_watch_a_lost_scheduler_share_a_rate_of_probes() {
+    assert_eq!(watch_interval(33), Millis(100));
+    for others in [0, 34, 100, 166, 300, 5_000] {
+        let interval = watch_interval(others);
+        let probes_per_sec = others as u64 * 1_000 / interval.0;
+        let usual = others as u64 * 1_000 / PROBE_INTERVAL.0;
+        assert!(probes_per_sec <= usual.max(333), "{others} others: {probes_per_sec} probes a second");
+    }
+}
