Split the beginning of a term, its orders and its jobs from long files

One function of 150 lines began a term.

Change: term_start.rs reads what earlier terms stored and begins the next one, in steps with names; job_loading.rs loads the jobs; term_orders.rs plans and sends orders; sched/jobs.rs holds jobs, their shares and ends. Behaviour is the same: the code moved, and the decisions about earlier schedulers became methods of what was read.

--- a/crates/carawaybarrow/src/node/view.rs
+++ b/crates/carawaybarrow/src/node/view.rs
@@ -21,10 +21,6 @@
 use crate::node::records::{self, Member, Owner, SCHEDULER_KEY};
 use crate::node::term::Term;
 
-/// Time between probes of the store. A change of the configuration is in force here after at most this time and one
-/// answer.
-pub const PROBE_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Age of the last proof up to which the store counts as reached: a probe and its answer.
 const REACHED_AGE: Millis = Millis(700);
 
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -26,6 +26,7 @@
 
 mod answers;
 mod arrivals;
+mod jobs;
 mod orphans;
 mod plan;
 mod reservation;
