Play a scheduler whose lease has lapsed in the model

Cause: the model of the scheduler only knew changes after which the next one waits the full 2 s, so that no test of tasks covered a scheduler that is known to have stopped earlier.

Change: the model replaces the scheduler once its lease has lapsed, with the time that LastStop gives, while the last one acts on. scheduler_whose_lease_lapsed_may_act_a_little_longer lets it start a task on a worker that has restarted, at the last moment.

--- a/crates/core/tests/sched/model.rs
+++ b/crates/core/tests/sched/model.rs
@@ -1,6 +1,7 @@
 //! A simulation of workers and of the store, advanced in steps of constant length.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use carawaybarrow_core::sched::graph::{
@@ -12,6 +13,8 @@
 use carawaybarrow_core::sched::progress::{JobRecord, JobState, Progress};
 use carawaybarrow_core::sched::recovery::{PREVIOUS_TERM_OVERRUN, QueuePools};
 use carawaybarrow_core::sched::scheduler::{Now, Scheduler};
+use carawaybarrow_core::sched::succession::Succession;
+use carawaybarrow_core::sched::takeover::LastStop;
 use carawaybarrow_core::sched::writes::JobWrite;
 use carawaybarrow_core::units::{Millis, MonoTime, WallTime};
 
@@ -233,6 +236,25 @@
         self.replace_scheduler();
     }
 
+    /// Replaces the scheduler once its lease has lapsed, while it has not noticed that. The next one knows when it stops, as no
+    /// other entry has confirmed its term.
+    pub fn replace_scheduler_after_lapse(&mut self, lease: Millis) {
+        // Nothing confirms its term meanwhile.
+        self.is_previous_acting = true;
+        for _ in 0..lease.0 / STEP_MS {
+            self.poll_all();
+            self.advance_time();
+        }
+        self.is_previous_acting = false;
+        self.replace_scheduler_unnoticed();
+        let entry = SocketAddr::from(([127, 0, 0, 1], 1));
+        let succession = Succession { term: self.term - 1, successors: vec![entry], listed: Vec::new() };
+        let now = MonoTime(self.now);
+        let mut last_stop = LastStop::new(now, lease, &succession).expect("there is a successor");
+        last_stop.apply_answer(&entry, now, Some(Millis(60_000)));
+        self.previous_stopped_by = last_stop.stops_by().expect("the successor has answered").0;
+    }
+
     /// Lets the scheduler of the previous term poll one worker and execute its orders, until a worker refuses its token.
     pub fn run_previous(&mut self, polled: &WorkerKey) {
         let Some(previous) = self.previous.take() else { return };
--- a/crates/core/tests/sched/restarts.rs
+++ b/crates/core/tests/sched/restarts.rs
@@ -4,8 +4,9 @@
 use carawaybarrow_core::sched::order::{Order, StartAnswer};
 use carawaybarrow_core::sched::progress::JobState;
 use carawaybarrow_core::sched::recovery::PREVIOUS_TERM_OVERRUN;
+use carawaybarrow_core::sched::scheduler::CONFIRMATION_LIMIT;
 use carawaybarrow_core::sched::worker::LATE_CALL_LIMIT;
-use carawaybarrow_core::units::MonoTime;
+use carawaybarrow_core::units::{Millis, MonoTime};
 
 use super::model::{Model, STEP_MS, job, report, step};
 
@@ -300,14 +301,17 @@
     model.poll_all();
     model.accept_unannounced("j", job(vec![step(1, 1_000)]));
     model.advance_time();
-    let key = report(0).key;
-    model.scheduler.set_cordoned(&key, true);
+    model.scheduler.set_cordoned(&report(0).key, true);
     model.announce("j");
     model.run_scheduler();
+    start_by_previous_after_restart(&mut model);
+    model
+}
+
+fn start_by_previous_after_restart(model: &mut Model) {
     model.worker_mut(0).restart();
-    model.run_previous(&key);
+    model.run_previous(&report(0).key);
     assert_eq!(model.worker_mut(0).runs.len(), 1, "the previous scheduler has started the task");
-    model
 }
 
 /// Guards against a task that runs twice because a worker that has refused the token of the previous scheduler crashes and
@@ -324,6 +328,28 @@
     assert_eq!(model.count_running(), 1);
 }
 
+/// Guards against a task that runs twice because a scheduler whose lease lapsed is taken for stopped while it acts: it does so
+/// for as long as its last renewal allows. The worker has restarted, as above.
+#[test]
+fn scheduler_whose_lease_lapsed_may_act_a_little_longer() {
+    const LEASE: Millis = Millis(1_500);
+    let mut model = Model::new(2);
+    model.work_ms = 20_000;
+    model.run_for(SETTLING_MS);
+    model.replace_scheduler_after_lapse(LEASE);
+    model.accept_unannounced("j", job(vec![step(1, 1_000)]));
+    model.scheduler.set_cordoned(&report(0).key, true);
+    model.announce("j");
+    // The last confirmation is one step older than the lease.
+    model.run_for(CONFIRMATION_LIMIT.0 - LEASE.0 - STEP_MS);
+    start_by_previous_after_restart(&mut model);
+    for _ in 0..PREVIOUS_TERM_OVERRUN.0 / STEP_MS {
+        model.check_invariants();
+        model.run_for(STEP_MS);
+    }
+    assert_eq!(model.count_running(), 1);
+}
+
 /// Guards against jobs of earlier terms that wait longer than until their scheduler has stopped and all workers have
 /// answered once more.
 #[test]
