--- a/crates/carawaybarrow/src/node/election.rs
+++ b/crates/carawaybarrow/src/node/election.rs
@@ -14,7 +14,7 @@
 use crate::node::records::{self, LAST_SCHEDULER_KEY, LastScheduler, RELEASED_TERM_KEY, SCHEDULER_KEY};
 use crate::node::term::Term;
 use crate::node::term_start::{self, Attempt, Earlier};
-use crate::node::view::{self, View};
+use crate::node::view::{self, STORE_TIMEOUT, View};
 use crate::node::{job_loading, job_writer, store_watches, succession, vm_orders, worker_polls};
 
 /// Time between renewals. The lease survives two renewals that fail quickly.
@@ -33,9 +33,6 @@
 /// Pause between checks whether the other entries must be asked.
 const CONFIRMATION_PAUSE: Duration = Duration::from_millis(250);
 
-/// Time for an answer of the store.
-const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
-
 /// Pause before another attempt to read the store's revision.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
--- a/crates/carawaybarrow/src/node/job_loading.rs
+++ b/crates/carawaybarrow/src/node/job_loading.rs
@@ -9,15 +9,12 @@
 use carawaybarrow_core::sched::progress::{JobRecord, Progress};
 use carawaybarrow_core::sched::recovery::QueuePools;
 use carawaybarrow_platform::configuration::{EVACUATION_PREFIX, evacuated_data_centre};
-use carawaybarrow_platform::store::{Item, StoreError};
-use snafu::Snafu;
+use carawaybarrow_platform::store::Item;
 
 use crate::node::records::{self, JOB_PREFIX, JobItem, PROGRESS_PREFIX, QUEUE_POOLS_KEY, RECOVERY_SET_KEY};
 use crate::node::term::Term;
-use crate::node::view;
-
-/// Time for an answer of the store.
-const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+use crate::node::term_start::{NotLoadedSnafu, StartError};
+use crate::node::view::{self, STORE_TIMEOUT};
 
 /// Pause before another attempt to read the jobs.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
@@ -25,32 +22,12 @@
 /// Attempts to read the jobs at the start of a term, so that a short fault of the store doesn't end the term.
 const LOAD_ATTEMPTS: usize = 20;
 
-/// Why the jobs could not be read.
-#[derive(Debug, Snafu)]
-pub enum LoadError {
-    /// The store gave no usable answer.
-    #[snafu(transparent)]
-    Store {
-        /// Its error.
-        source: StoreError,
-    },
-    /// A stored document can't be parsed.
-    #[snafu(display("a stored document can't be parsed: {source}"), context(false))]
-    Document {
-        /// The parser's error.
-        source: serde_json::Error,
-    },
-    /// No attempt read them, or the term has ended.
-    #[snafu(display("the jobs could not be read"))]
-    NotLoaded,
-}
-
 /// Reads the jobs, with further attempts after a fault.
 ///
 /// # Errors
 ///
 /// Fails if no attempt reads them, or if the term ends.
-pub async fn load_jobs(term: &Arc<Term>) -> Result<(), LoadError> {
+pub async fn load_jobs(term: &Arc<Term>) -> Result<(), StartError> {
     for _ in 0..LOAD_ATTEMPTS {
         match load_jobs_once(term).await {
             Ok(()) => return Ok(()),
@@ -64,7 +41,7 @@
     NotLoadedSnafu.fail()
 }
 
-async fn load_jobs_once(term: &Arc<Term>) -> Result<(), LoadError> {
+async fn load_jobs_once(term: &Arc<Term>) -> Result<(), StartError> {
     let store = &term.view.store;
     // Progress is read before the jobs: only this term may write it now, and it writes none before the jobs are loaded.
     let (progress_items, _) = store.list(PROGRESS_PREFIX, term.list_timeout()).await?;
--- a/crates/carawaybarrow/src/node/succession.rs
+++ b/crates/carawaybarrow/src/node/succession.rs
@@ -14,7 +14,7 @@
 use crate::node::peers::SchedulerClient;
 use crate::node::records::{self, SCHEDULER_KEY, SUCCESSION_KEY};
 use crate::node::term::Term;
-use crate::node::view;
+use crate::node::view::{self, STORE_TIMEOUT};
 
 /// Time between checks whether the successors answer.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
@@ -25,9 +25,6 @@
 /// Time for which an entry that did not answer is chosen only if there are too few others.
 const UNFIT_TIME: Millis = Millis(30_000);
 
-/// Time for an answer of the store.
-const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
-
 /// Checks that an entry has left unanswered in a row, and the time of the last one.
 type Unanswered = Map<SocketAddr, (u32, MonoTime)>;
 
--- a/crates/carawaybarrow/src/node/term_start.rs
+++ b/crates/carawaybarrow/src/node/term_start.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use carawaybarrow_core::sched::order::FencingToken;
 use carawaybarrow_core::sched::scheduler::Scheduler;
@@ -19,17 +18,15 @@
     SUCCESSION_KEY, TERM_COUNT_KEY, VM_MOVES_KEY,
 };
 use crate::node::term::{EarlierVmOrders, GrantedLease, Term};
-use crate::node::view::{self, View};
+use crate::node::view::{self, STORE_TIMEOUT, View};
 
 /// Length of the scheduler's lease, unless the store grants only longer ones. A shorter lease would lapse in short
 /// outages; a longer one would leave the pools without a scheduler for longer after a failure.
 const TERM_LEASE: Millis = Millis(1_500);
 
-/// Time for an answer of the store.
-const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
-
 /// Why a term could not begin.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(super)))]
 pub enum StartError {
     /// The store gave no usable answer.
     #[snafu(transparent)]
@@ -46,6 +43,9 @@
     /// The lease ended before the term began.
     #[snafu(display("the lease ended before the term began"))]
     LeaseEnded,
+    /// No attempt has read the jobs.
+    #[snafu(display("the jobs could not be read"))]
+    NotLoaded,
 }
 
 /// What is known of the schedulers before a new term.
--- a/crates/carawaybarrow/src/node/view.rs
+++ b/crates/carawaybarrow/src/node/view.rs
@@ -21,6 +21,9 @@
 use crate::node::records::{self, Member, Owner, SCHEDULER_KEY};
 use crate::node::term::Term;
 
+/// Time for an answer of the store to a call that no caller waits for.
+pub const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// Age of the last proof up to which the store counts as reached: a probe and its answer.
 const REACHED_AGE: Millis = Millis(700);
 
--- a/crates/carawaybarrow/src/node/vm_orders.rs
+++ b/crates/carawaybarrow/src/node/vm_orders.rs
@@ -19,10 +19,7 @@
 
 use crate::node::records::{self, SCHEDULER_KEY, VM_MOVES_KEY};
 use crate::node::term::Term;
-use crate::node::view;
-
-/// Time for an answer of the store.
-const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+use crate::node::view::{self, STORE_TIMEOUT};
 
 /// Time for an answer of the VM API: a page of the list of VMs, or an order.
 const VM_API_TIMEOUT: Duration = VM_CALL_LIMIT.to_duration();
--- a/crates/core/src/sched/candidacy.rs
+++ b/crates/core/src/sched/candidacy.rs
@@ -19,8 +19,8 @@
 /// Minimum time between its probes while the scheduler is lost and its lease may lapse.
 const WATCH_INTERVAL: Millis = Millis(100);
 
-/// The same for each other entry. If all entries are equal, they make at most 340 probes a second together, or the usual number; 301 that
-/// probed each 100 ms used up the calls that the store accepts.
+/// The same for each other entry. If all entries are equal, they make at most 340 probes a second together, or the usual
+/// number; 301 that probed each 100 ms used up the calls that the store accepts.
 const WATCH_INTERVAL_PER_ENTRY: Millis = Millis(3);
 
 /// CPU of an entry, in percent of another's, from which it counts as clearly stronger.
--- a/crates/core/src/sched/succession.rs
+++ b/crates/core/src/sched/succession.rs
@@ -25,8 +25,8 @@
 /// Time without a scheduler after which an entry that the scheduler does not list begins a term.
 pub const UNLISTED_DELAY: Millis = Millis(60_000);
 
-/// Slowest rate of the scheduler's clock relative to that of a waiting entry, in percent.
-const SLOWEST_CLOCK_PERCENT: u64 = 96;
+/// Slowest rate of the clock of one entry or of the store relative to that of another, in percent.
+pub(super) const SLOWEST_CLOCK_PERCENT: u64 = 96;
 
 /// An entry that may become a successor.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/core/src/sched/takeover.rs
+++ b/crates/core/src/sched/takeover.rs
@@ -11,12 +11,9 @@
 
 use crate::map::Set;
 use crate::sched::recovery::PREVIOUS_TERM_OVERRUN;
-use crate::sched::succession::Succession;
+use crate::sched::succession::{SLOWEST_CLOCK_PERCENT, Succession};
 use crate::units::{Millis, MonoTime};
 
-/// Slowest rate of the clock of the store or of another entry relative to that of the new scheduler, in percent.
-const SLOWEST_CLOCK_PERCENT: u64 = 96;
-
 /// What a new scheduler knows about the time at which the last scheduler stops.
 #[derive(Clone, Debug)]
 pub struct LastStop {
