Replace review case 10: new machines schedule nothing for a minute

Cause: only entries that the stored succession names may begin a term at once or after 6 s; any other waits for 60 s. If all machines are lost at once and replaced at other addresses, no entry is named.

No code of the product changes.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,2 +1,2 @@
 #!/bin/bash
-exec "$(dirname "$0")/../standin-2/run-case.sh" ticket "$(cd "$(dirname "$0")" && pwd)"
+exec "$(dirname "$0")/../standin-2/run-case.sh" replaced "$(cd "$(dirname "$0")" && pwd)"
--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -5,6 +5,7 @@
         "same-id" => same_id(setup),
         "advice" => advice(setup),
         "ticket" => ticket(setup),
+        "replaced" => replaced(setup),
         _ => give_up("no such case"),
     }
 }
@@ -238,3 +239,68 @@
     let code = verdict(&broken);
     (stage, code)
 }
+
+/// All machines of the system are lost at once, and as many come two seconds later, at other addresses.
+fn replaced(setup: &Setup) -> (Stage, i32) {
+    let rules = Rules::default();
+    let stage = setup.run(&[("clip", false), ("master", false)], &[("alpha", "key-a")], 4, 4, 64_000, rules);
+    let mut client = Client::new(&stage.nodes);
+    let id = client.new_id();
+    let body = r#"{"spec":"on","steps":[{"count":2,"cpu":4000,"mem-mb":100,"estimate-ms":500,"long-running":true,"may-miss":1}]}"#;
+    let lasting = format!("/master/{id}");
+    client.submit(0, &lasting, "key-a", body);
+    let mut early = Vec::new();
+    for round in 0..8 {
+        let path = format!("/clip/{}", client.new_id());
+        if client.submit(round, &path, "key-a", &job("300", 4, 1_000, 300, "")) {
+            early.push((path, "key-a"));
+        }
+        pause(1_000);
+    }
+    if stage.workers.running(&id).len() < 2 {
+        give_up("the job that lasts does not run");
+    }
+    stage.nodes.lose_all();
+    pause(2_000);
+    // Without the disruption the same machines come back.
+    stage.nodes.come(stage.is_troubled);
+    stage.nodes.wait_ready();
+    let back = Instant::now();
+    let mut broken = Vec::new();
+    // LOST, of a job that lasts: a span of 3 s in which a task has nothing running, later than 6 s after its last run, which
+    // the worker's lease ended by then, and with more than 4 s before the span that are calm.
+    let tasks = [format!("{id}.0.0.0"), format!("{id}.0.0.1")];
+    let mut missing_since: [Option<Duration>; 2] = [None, None];
+    let mut late = Vec::new();
+    let mut next = Duration::from_secs(12);
+    while back.elapsed() < Duration::from_secs(22) {
+        // RECOVER: requests that are sent later than `recovery-s` (12) after the machines are back.
+        if back.elapsed() >= next {
+            next += Duration::from_secs(1);
+            let path = format!("/clip/{}", client.new_id());
+            if client.submit(late.len(), &path, "key-a", &job("300", 4, 1_000, 300, "")) {
+                late.push((path, "key-a"));
+            }
+        }
+        let running = stage.workers.running(&id);
+        for (task, since) in tasks.iter().zip(&mut missing_since) {
+            if back.elapsed() < Duration::from_secs(9) || running.contains(task) {
+                *since = None;
+            } else if elapsed().saturating_sub(*since.get_or_insert_with(elapsed)) >= Duration::from_secs(3) {
+                let line = format!("LOST: {task} lasts and has had nothing running for 3 s, 9 s after the machines were back");
+                if !broken.contains(&line) {
+                    broken.push(line);
+                }
+            }
+        }
+        pause(20);
+    }
+    record(format!("traffic ends, {} jobs accepted before and {} after", early.len(), late.len()));
+    let lost = find_lost(&stage, &client, &late);
+    if late.is_empty() || lost.len() * 4 > late.len() * 3 {
+        broken.push(format!("RECOVER: {} of {} jobs that were sent later than 12 s after the machines were back are served", late.len() - lost.len(), late.len()));
+    }
+    broken.extend(lost);
+    let code = verdict(&broken);
+    (stage, code)
+}
--- a/review/standin-2/rig.rs
+++ b/review/standin-2/rig.rs
@@ -1033,7 +1033,7 @@
             let at = start.wrapping_add(attempt * 7_919) % (200 * 250);
             let net = Self { prefix: (20 + (at / 250) as u8, 1 + (at % 250) as u8) };
             let is_free = |host: u8, port: u16| TcpListener::bind(net.address(host, port)).is_ok();
-            if [1, 2, 3].iter().all(|h| [7000, 7001, 8340, 8343].iter().all(|p| is_free(*h, *p)))
+            if [1, 2, 3, 4, 5, 6].iter().all(|h| [7000, 7001, 8340, 8343].iter().all(|p| is_free(*h, *p)))
                 && [10, 11, 12].iter().all(|h| is_free(*h, 8344))
                 && (100..112).all(|h| is_free(h, 8080))
             {
@@ -1062,6 +1062,8 @@
     pids: String,
     folder: String,
     children: Arc<Mutex<Vec<Option<Child>>>>,
+    /// Number of machines that were there before the present ones.
+    earlier: Arc<AtomicU64>,
     stopping: Arc<AtomicBool>,
     over_memory: Arc<AtomicU64>,
     exits: Arc<AtomicU64>,
@@ -1078,6 +1080,7 @@
             pids: pids.to_owned(),
             folder: folder.to_owned(),
             children: Arc::new(Mutex::new((0..NODES).map(|_| None).collect())),
+            earlier: Arc::default(),
             stopping: Arc::default(),
             over_memory: Arc::default(),
             exits: Arc::default(),
@@ -1092,7 +1095,7 @@
     }
 
     fn settings(&self, index: usize, is_first: bool) -> String {
-        let ip = self.net.ip(1 + index as u8);
+        let (ip, index) = (self.net.ip(self.host(index)), self.number(index));
         let (store, cloud, advice) =
             (self.net.address(10, 8344), self.net.address(11, 8344), self.net.address(12, 8344));
         format!(
@@ -1177,7 +1180,7 @@
         if let Ok(mut pids) = fs::OpenOptions::new().create(true).append(true).open(&self.pids) {
             let _ = writeln!(pids, "{}", child.id());
         }
-        record(format!("node    edge-{index} starts"));
+        record(format!("node    edge-{} starts", self.number(index)));
         lock(&self.children)[index] = Some(child);
     }
 
@@ -1219,15 +1222,46 @@
         }
     }
 
+    /// Number of a machine, in the order in which they came.
+    fn number(&self, index: usize) -> usize {
+        self.earlier.load(Ordering::SeqCst) as usize + index % NODES
+    }
+
+    fn host(&self, index: usize) -> u8 {
+        1 + self.number(index) as u8
+    }
+
     fn address(&self, index: usize) -> SocketAddr {
-        self.net.address(1 + (index % NODES) as u8, 8340)
+        self.net.address(self.host(index), 8340)
+    }
+
+    /// All machines lose their power at the same moment.
+    fn lose_all(&self) {
+        let mut children = lock(&self.children);
+        for child in children.iter_mut() {
+            if let Some(mut child) = child.take() {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+        record("nodes   all machines lose power");
+    }
+
+    /// Machines come: the same ones again, or as many others at other addresses.
+    fn come(&self, are_others: bool) {
+        if are_others {
+            self.earlier.fetch_add(NODES as u64, Ordering::SeqCst);
+        }
+        for index in 0..NODES {
+            self.spawn(index, false);
+        }
     }
 
     /// Waits until all nodes are ready.
     fn wait_ready(&self) {
         let deadline = Instant::now() + Duration::from_secs(15);
         for index in 0..NODES {
-            let address = self.net.address(1 + index as u8, 8343);
+            let address = self.net.address(self.host(index), 8343);
             while !matches!(call(address, "GET", "/v1/readyz", "x", "", ""), Some((200, _))) {
                 if Instant::now() > deadline {
                     give_up("the nodes are not ready after 15 s");
@@ -1269,7 +1303,7 @@
             None => "no answer".to_owned(),
         };
         let body = if body.len() > 300 { format!("{} bytes", body.len()) } else { body.to_owned() };
-        record(format!("client  {method} {path} {key} {body} at edge-{} -> {text}", node % NODES));
+        record(format!("client  {method} {path} {key} {body} at edge-{} -> {text}", self.nodes.number(node)));
         answer
     }
 
