--- a/review/standin-2/run-case.sh
+++ b/review/standin-2/run-case.sh
@@ -16,8 +16,12 @@
     rm -rf "$work"
 }
 trap clean EXIT
-trap 'exit 2' INT TERM
-timeout -k 2 116 "$rig" "$1" "$product" "$2/record.txt" "$work/pids"
+# The stand-ins hold both ends of many connections.
+ulimit -n "$(ulimit -Hn)" 2> /dev/null
+timeout -k 2 116 "$rig" "$1" "$product" "$2/record.txt" "$work/pids" &
+child=$!
+trap 'kill "$child" 2> /dev/null; exit 2' INT TERM
+wait "$child"
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
