Ask the advice service one call at a time

Cause: a step repeated its request 1 s after it had sent it, also while the first one was in flight, and each waiting step made its own. The service handles the calls of one machine in turn, so the others waited in its queue until the scheduler abandoned them after 3 s, a limit that knew neither the configured times nor the waiting calls.

Change: one request is in flight at a time, and the steps take turns. The time for an answer follows from the configured times and the last answer, and doubles with each request in a row without one. A refusal is followed by a pause. Advice that a step may not run on a worker is kept like a ticket, and a step asks only about workers on which it has no advice.

--- a/crates/carawaybarrow/src/node/term_orders.rs
+++ b/crates/carawaybarrow/src/node/term_orders.rs
@@ -4,12 +4,13 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
-use carawaybarrow_core::sched::advice::StepName;
+use carawaybarrow_core::sched::advice::{AdviceOutcome, StepName};
 use carawaybarrow_core::sched::event::Event;
 use carawaybarrow_core::sched::graph::{JobKey, TaskName, WorkerKey};
 use carawaybarrow_core::sched::order::{Order, Start, StartAnswer};
 use carawaybarrow_core::sched::progress::JobRecord;
 use carawaybarrow_core::units::{Millis, MonoTime};
+use carawaybarrow_platform::advice::AdviceClient;
 use carawaybarrow_platform::store::{Item, StoreError};
 use carawaybarrow_platform::workers::{OrderOutcome, RunLocation};
 
@@ -27,9 +28,6 @@
 /// that old no longer fits.
 const MAX_ORDER_AGE: Millis = Millis(400);
 
-/// Time for an answer of the advice service, whose response time grows with the number of workers.
-const ADVICE_TIMEOUT: Duration = Duration::from_millis(3_000);
-
 /// Minimum pause between plans, in which changes accumulate: a hundredth of the time that a task takes.
 const PLAN_PAUSE: Duration = Duration::from_millis(8);
 
@@ -96,7 +94,9 @@
         let worker = match &order {
             Order::Start(start) => &start.worker,
             Order::Stop { worker, .. } | Order::Pace { worker, .. } => worker,
-            Order::RequestAdvice { step, workers } => return self.request_advice(step, workers).await,
+            Order::RequestAdvice { step, workers, time_limit } => {
+                return self.request_advice(step, workers, *time_limit).await;
+            }
             Order::LookUpJob { job } => return self.look_up_job(job).await,
         };
         let Some(address) = self.with(|s| s.worker(worker).map(|w| w.report.address)) else { return };
@@ -144,21 +144,17 @@
     }
 
     /// Requests advice on which workers may run a step.
-    async fn request_advice(self: &Arc<Self>, step: &StepName, workers: &[WorkerKey]) {
-        let Some(advice) = &self.advice else {
-            return log::error!(step:% = step; "the queue requires advice, but the settings name no advice service");
-        };
-        let answer = match advice.ask(&step.to_string(), workers, ADVICE_TIMEOUT).await {
-            Ok(allowed) => {
-                log::info!(step:% = step, asked = workers.len(), allowed = allowed.workers.len(), valid_ms = allowed.valid_for.0; "advice");
-                Some((allowed.workers, allowed.valid_for))
-            }
-            Err(e) => {
-                log::info!(step:% = step, asked = workers.len(), error:% = e; "request for advice failed");
-                None
+    async fn request_advice(self: &Arc<Self>, step: &StepName, workers: &[WorkerKey], time_limit: Millis) {
+        let began = Instant::now();
+        let outcome = match &self.advice {
+            Some(advice) => ask_advice(advice, step, workers, time_limit).await,
+            None => {
+                log::error!(step:% = step; "the queue requires advice, but the settings name no advice service");
+                AdviceOutcome::Refused
             }
         };
-        self.with(|s| s.apply_advice(view::now().mono, step, answer));
+        self.view.metrics.record_order("advice", advice_label(&outcome), began.elapsed());
+        self.with(|s| s.apply_advice(view::now().mono, step, outcome));
         self.request_plan();
     }
 
@@ -201,6 +197,33 @@
     }
 }
 
+async fn ask_advice(
+    advice: &AdviceClient,
+    step: &StepName,
+    workers: &[WorkerKey],
+    time_limit: Millis,
+) -> AdviceOutcome {
+    match advice.ask(&step.to_string(), workers, time_limit.to_duration()).await {
+        Ok(allowed) => {
+            log::info!(step:% = step, asked = workers.len(), allowed = allowed.workers.len(), valid_ms = allowed.valid_for.0; "advice");
+            AdviceOutcome::Allowed { tickets: allowed.workers, valid_for: allowed.valid_for }
+        }
+        Err(e) => {
+            log::info!(step:% = step, asked = workers.len(), time_limit_ms = time_limit.0, error:% = e; "request for advice failed");
+            if e.may_have_taken_effect() { AdviceOutcome::Unanswered } else { AdviceOutcome::Refused }
+        }
+    }
+}
+
+/// Value of the label `answer` in the metrics, for a request for advice.
+const fn advice_label(outcome: &AdviceOutcome) -> &'static str {
+    match outcome {
+        AdviceOutcome::Allowed { .. } => "answered",
+        AdviceOutcome::Refused => "refused",
+        AdviceOutcome::Unanswered => "unknown",
+    }
+}
+
 /// Value of the label `answer` in the metrics.
 const fn outcome_label(outcome: &Result<OrderOutcome, StoreError>) -> &'static str {
     match outcome {
--- a/crates/carawaybarrow/tests/installation/mod.rs
+++ b/crates/carawaybarrow/tests/installation/mod.rs
@@ -42,7 +42,8 @@
 /// Port on which an entry serves other entries behind its proxy.
 const FORWARDED_PORT: u16 = 7_010;
 
-const POOL: &str = "pool";
+/// Pool of all workers.
+pub const POOL: &str = "pool";
 
 /// API key of all callers.
 pub const KEY: &str = "soak-key";
--- a/crates/core/src/sched/advice.rs
+++ b/crates/core/src/sched/advice.rs
@@ -1,4 +1,8 @@
 //! Tickets for queues whose policy allows only some workers to run a step.
+//!
+//! The advice service handles one call at a time for each calling machine, in turn. A second call would only wait in its
+//! queue, which is bounded, and it may finish calls that their callers have abandoned. So one request is in flight at a time,
+//! and the steps that need tickets take turns.
 
 use std::fmt;
 
@@ -7,20 +11,27 @@
 use crate::map::Map;
 use crate::sched::graph::{JobKey, WorkerKey};
 use crate::sched::order::Order;
+use crate::sched::policy::AdviceTimes;
 use crate::sched::scheduler::Scheduler;
 use crate::units::{Millis, MonoTime};
 
-/// Time after which a request for tickets without an answer is repeated.
-const REQUEST_RETRY: Millis = Millis(1_000);
+/// Time for the answer to a request, in addition to twice the time that it should take.
+const ANSWER_MARGIN: Millis = Millis(1_000);
 
-/// Part of the validity of tickets for which they are used, in percent; then new ones are requested.
+/// Number of requests in a row without an answer up to which the time for the next one doubles.
+const MAX_DOUBLINGS: u32 = 5;
+
+/// Minimum pause after a request without advice.
+const MIN_PAUSE: Millis = Millis(500);
+
+/// Part of the validity of advice for which it is used, in percent.
 const USE_PERCENT: u64 = 70;
 
 /// Maximum number of workers in a request that the advice service accepts.
 const MAX_WORKERS_PER_REQUEST: usize = 100;
 
 /// Name of a step: job, occurrence and step.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct StepName {
     /// Job of the step.
     pub job: JobKey,
@@ -36,55 +47,158 @@
     }
 }
 
-/// Answer of the advice service for a step.
-#[derive(Clone, Debug, Default)]
-pub(super) struct StepAdvice {
-    /// Tickets of the workers that may run it.
-    tickets: Map<WorkerKey, SmolStr>,
-    /// Time until which the tickets are used.
+/// Outcome of a request for advice.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AdviceOutcome {
+    /// The workers that may run the step, each with its ticket. The others of the request may not.
+    Allowed {
+        /// Workers and tickets.
+        tickets: Vec<(WorkerKey, SmolStr)>,
+        /// Time for which the answer is valid.
+        valid_for: Millis,
+    },
+    /// The service took no call, or was not reached.
+    Refused,
+    /// No answer came in time. The service may still handle the call.
+    Unanswered,
+}
+
+/// What the advice service said about a step on a worker.
+#[derive(Clone, Debug)]
+struct Advised {
+    /// `None` if the step may not run there.
+    ticket: Option<SmolStr>,
+    /// Time until which this is used.
     until: MonoTime,
-    /// Time of the last request.
-    requested: Option<MonoTime>,
 }
 
-impl StepAdvice {
-    /// Ticket for a worker; `None` if the step may not run there.
-    pub(super) fn ticket(&self, worker: &WorkerKey) -> Option<SmolStr> {
-        self.tickets.get(worker).cloned()
-    }
+/// Advice for a step.
+#[derive(Clone, Debug, Default)]
+struct StepAdvice {
+    workers: Map<WorkerKey, Advised>,
+    /// Time since which the step waits for its turn.
+    waits_since: Option<MonoTime>,
+    /// Workers that the last plan which had use for them lacked advice on, and the time of that plan.
+    wanted: Vec<WorkerKey>,
+    wanted_at: MonoTime,
+    times: AdviceTimes,
 }
 
-impl Scheduler {
-    /// Tickets for a step. Requests them and returns none if they have expired or if none is for one of `workers`;
-    /// no task of the step starts until they arrive.
-    pub(super) fn find_tickets(
-        &mut self,
-        now: MonoTime,
-        step: &StepName,
-        workers: &[WorkerKey],
-    ) -> Map<WorkerKey, SmolStr> {
-        let known = self.advice.entry(step.clone()).or_default();
-        if now < known.until && workers.iter().any(|w| known.tickets.contains_key(w)) {
-            return known.tickets.clone();
+/// A request in flight.
+#[derive(Clone, Debug)]
+struct Request {
+    step: StepName,
+    workers: Vec<WorkerKey>,
+    sent: MonoTime,
+}
+
+/// Advice for all steps.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Advice {
+    steps: Map<StepName, StepAdvice>,
+    in_flight: Option<Request>,
+    /// Time that the last answer took.
+    last_answer_time: Millis,
+    /// Requests in a row without an answer.
+    unanswered: u32,
+    /// Time before which no request is made.
+    paused_until: MonoTime,
+}
+
+impl Advice {
+    /// Ticket for a step on a worker; `None` if the step may not run there.
+    pub(super) fn ticket(&self, step: &StepName, worker: &WorkerKey) -> Option<SmolStr> {
+        self.steps.get(step)?.workers.get(worker)?.ticket.clone()
+    }
+
+    /// Valid tickets for a step.
+    pub(super) fn tickets(&self, now: MonoTime, step: &StepName) -> Map<WorkerKey, SmolStr> {
+        let advised = self.steps.get(step).into_iter().flat_map(|known| &known.workers);
+        let valid = advised.filter(|(_, a)| now < a.until);
+        valid.filter_map(|(worker, a)| Some((worker.clone(), a.ticket.clone()?))).collect()
+    }
+
+    /// Records that tasks of a step wait although they would fit on `workers`. Those without valid advice are asked about when
+    /// it is the turn of the step.
+    pub(super) fn want(&mut self, now: MonoTime, step: &StepName, workers: &[WorkerKey], times: AdviceTimes) {
+        let known = self.steps.entry(step.clone()).or_default();
+        let is_unknown = |worker: &&WorkerKey| known.workers.get(*worker).is_none_or(|a| now >= a.until);
+        let wanted: Vec<WorkerKey> = workers.iter().filter(is_unknown).take(MAX_WORKERS_PER_REQUEST).cloned().collect();
+        if wanted.is_empty() {
+            return;
+        }
+        known.wanted = wanted;
+        known.wanted_at = now;
+        known.waits_since.get_or_insert(now);
+        known.times = times;
+    }
+
+    /// Next request, for the step that has waited longest of those that the plan at `now` lacked advice for; `None` while another
+    /// one is in flight.
+    fn next_request(&mut self, now: MonoTime) -> Option<Order> {
+        if self.in_flight.is_some() || now < self.paused_until {
+            return None;
+        }
+        let waiting = self.steps.iter_mut().filter(|(_, known)| known.wanted_at == now && !known.wanted.is_empty());
+        let (step, known) = waiting.min_by(|(a, x), (b, y)| (x.waits_since, a).cmp(&(y.waits_since, b)))?;
+        let workers = std::mem::take(&mut known.wanted);
+        let answer_time = known.times.answer_time(workers.len());
+        let expected = Millis(answer_time.0.max(self.last_answer_time.0));
+        let time_limit = Millis((expected.0 * 2 + ANSWER_MARGIN.0) << self.unanswered.min(MAX_DOUBLINGS));
+        self.in_flight = Some(Request { step: step.clone(), workers: workers.clone(), sent: now });
+        Some(Order::RequestAdvice { step: step.clone(), workers, time_limit })
+    }
+
+    fn apply(&mut self, now: MonoTime, step: &StepName, outcome: AdviceOutcome) {
+        let Some(request) = self.in_flight.take_if(|request| request.step == *step) else { return };
+        if matches!(outcome, AdviceOutcome::Allowed { .. }) {
+            self.unanswered = 0;
+            self.last_answer_time = now.since(request.sent);
         }
-        if known.requested.is_none_or(|at| now.since(at) > REQUEST_RETRY) && !workers.is_empty() {
-            known.requested = Some(now);
-            let workers = workers.iter().take(MAX_WORKERS_PER_REQUEST).cloned().collect();
-            self.orders.push(Order::RequestAdvice { step: step.clone(), workers });
+        // The job may have ended meanwhile.
+        let known = self.steps.get_mut(step);
+        match outcome {
+            AdviceOutcome::Allowed { tickets, valid_for } => {
+                let Some(known) = known else { return };
+                known.waits_since = None;
+                let until = now + Millis(valid_for.0 * USE_PERCENT / 100);
+                let mut tickets: Map<WorkerKey, SmolStr> = tickets.into_iter().collect();
+                for worker in request.workers {
+                    let ticket = tickets.remove(&worker);
+                    known.workers.insert(worker, Advised { ticket, until });
+                }
+            }
+            // A call that the service handles ends by then.
+            AdviceOutcome::Refused => {
+                let answer_time = known.map_or(Millis(0), |known| known.times.answer_time(request.workers.len()));
+                self.paused_until = now + answer_time.max(MIN_PAUSE);
+            }
+            AdviceOutcome::Unanswered => {
+                self.unanswered = self.unanswered.saturating_add(1);
+                // The connection may have broken at once.
+                self.paused_until = now + MIN_PAUSE;
+                // The others come first.
+                if let Some(known) = known {
+                    known.waits_since = Some(now);
+                }
+            }
         }
-        Map::default()
     }
 
-    /// Applies the answer to a request for tickets; `None` if there was no answer.
-    pub fn apply_advice(
-        &mut self,
-        now: MonoTime,
-        step: &StepName,
-        answer: Option<(Vec<(WorkerKey, SmolStr)>, Millis)>,
-    ) {
-        let Some(known) = self.advice.get_mut(step) else { return };
-        let Some((tickets, valid)) = answer else { return };
-        known.tickets = tickets.into_iter().collect();
-        known.until = now + Millis(valid.0 * USE_PERCENT / 100);
+    /// Forgets the steps of a job.
+    pub(super) fn forget(&mut self, job: &JobKey) {
+        self.steps.retain(|step, _| step.job != *job);
+    }
+}
+
+impl Scheduler {
+    /// Requests the advice that the plan at `now` lacked, unless a request is in flight.
+    pub(super) fn request_advice(&mut self, now: MonoTime) {
+        self.orders.extend(self.advice.next_request(now));
+    }
+
+    /// Applies the outcome of the request for advice that is in flight.
+    pub fn apply_advice(&mut self, now: MonoTime, step: &StepName, outcome: AdviceOutcome) {
+        self.advice.apply(now, step, outcome);
     }
 }
--- a/crates/core/src/sched/order.rs
+++ b/crates/core/src/sched/order.rs
@@ -4,6 +4,7 @@
 
 use crate::sched::advice::StepName;
 use crate::sched::graph::{JobKey, PoolName, Resources, TaskName, VmKey, WorkerKey};
+use crate::units::Millis;
 
 /// Fencing token, which rises with each term; workers refuse orders with a lower token than they have seen.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -50,6 +51,8 @@
         step: StepName,
         /// Workers with enough free resources for a task of it.
         workers: Vec<WorkerKey>,
+        /// Time for the answer.
+        time_limit: Millis,
     },
     /// Read the record of a job from the store, because a worker lists runs or ends of it and the job is unknown.
     LookUpJob {
--- a/crates/core/src/sched/plan.rs
+++ b/crates/core/src/sched/plan.rs
@@ -113,6 +113,7 @@
                 self.finish_reservations(reservations, &slots);
             }
         }
+        self.request_advice(now.mono);
     }
 
     fn collect_candidates(&self, now: Now, key: &JobKey, job: &Job, by_pool: &mut Map<PoolName, Candidates>) {
@@ -163,15 +164,11 @@
     fn place_step(&mut self, now: MonoTime, slots: &mut Vec<Slot>, key: &JobKey, occurrence: usize, step: usize) {
         let Some(job) = self.jobs.get(key) else { return };
         let Some(spec) = job.spec.steps.get(step).cloned() else { return };
-        let tickets = if self.policy.rules_of(&job.spec).needs_advice {
+        let rules = self.policy.rules_of(&job.spec);
+        if rules.needs_advice {
+            let times = rules.advice_times;
             let name = step_name(key, occurrence, step);
-            let with_capacity: Vec<WorkerKey> =
-                slots.iter().filter(|s| spec.reserved().fits(&s.free)).map(|s| s.worker.clone()).collect();
-            Some(self.find_tickets(now, &name, &with_capacity))
-        } else {
-            None
-        };
-        if let Some(tickets) = &tickets {
+            let tickets = self.advice.tickets(now, &name);
             // The step is placed on the workers that it may run on; the others stay available to other steps.
             let mut allowed: Vec<Slot> = slots.iter().filter(|s| tickets.contains_key(&s.worker)).cloned().collect();
             self.place_tasks(now, &mut allowed, key, occurrence, step, &spec);
@@ -180,6 +177,12 @@
                     *slot = placed.clone();
                 }
             }
+            let steps = self.jobs.get(key).and_then(|j| j.occurrences.get(occurrence)).map(|o| &o.steps);
+            if steps.and_then(|s| s.get(step)).is_some_and(|s| s.tasks.iter().any(|t| t.is_waiting())) {
+                let with_capacity: Vec<WorkerKey> =
+                    slots.iter().filter(|s| spec.reserved().fits(&s.free)).map(|s| s.worker.clone()).collect();
+                self.advice.want(now, &name, &with_capacity, times);
+            }
             return;
         }
         self.place_tasks(now, slots, key, occurrence, step, &spec);
@@ -401,9 +404,8 @@
     /// Ticket for a run; `None` on queues that need no advice.
     fn ticket_of(&self, name: &TaskName, number: u32) -> Option<smol_str::SmolStr> {
         let step = StepName { job: name.job.clone(), occurrence: name.occurrence, step: name.step };
-        let advised = self.advice.get(&step)?;
         let run = self.jobs.get(&name.job)?.task(name)?.runs.iter().find(|r| r.number == number)?;
-        advised.ticket(&run.worker)
+        self.advice.ticket(&step, &run.worker)
     }
 
     /// Orders the start of a run, the first time or again.
--- a/crates/core/src/sched/policy.rs
+++ b/crates/core/src/sched/policy.rs
@@ -24,6 +24,26 @@
     pub allowance: Millis,
     /// Whether the advice service decides which workers may run a step.
     pub needs_advice: bool,
+    /// Times of the advice service for the queue.
+    #[serde(default)]
+    pub advice_times: AdviceTimes,
+}
+
+/// Times of the advice service, as the operators configure them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdviceTimes {
+    /// Time for an answer.
+    pub decision: Millis,
+    /// Time for each worker of the request, in addition.
+    pub per_worker: Millis,
+}
+
+impl AdviceTimes {
+    /// Time for the answer about a number of workers, when no other call is handled.
+    #[must_use]
+    pub const fn answer_time(&self, workers: usize) -> Millis {
+        Millis(self.decision.0.saturating_add(self.per_worker.0.saturating_mul(workers as u64)))
+    }
 }
 
 impl Default for QueuePolicy {
@@ -36,6 +56,7 @@
             stretch: 2.0,
             allowance: Millis(1_000),
             needs_advice: false,
+            advice_times: AdviceTimes::default(),
         }
     }
 }
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -5,7 +5,7 @@
 use smol_str::SmolStr;
 
 use crate::map::{Map, Set};
-use crate::sched::advice::{StepAdvice, StepName};
+use crate::sched::advice::Advice;
 use crate::sched::arrivals::Arrivals;
 use crate::sched::event::Event;
 use crate::sched::fence::UNFENCED_TIME;
@@ -127,7 +127,7 @@
     /// Time of the last lists or plan.
     pub(super) last_mono: MonoTime,
     pub(super) last_wall: WallTime,
-    pub(super) advice: Map<StepName, StepAdvice>,
+    pub(super) advice: Advice,
     pub(super) orphans: Orphans,
     pub(super) arrivals: Arrivals,
     pub(super) reservations: Map<PoolName, PoolReservations>,
@@ -178,7 +178,7 @@
             recovery_set_size: 0,
             last_mono: MonoTime(0),
             last_wall: WallTime(0),
-            advice: Map::default(),
+            advice: Advice::default(),
             orphans: Orphans::default(),
             arrivals: Arrivals::default(),
             reservations: Map::default(),
--- a/crates/core/src/sched/writes.rs
+++ b/crates/core/src/sched/writes.rs
@@ -130,7 +130,7 @@
         if self.jobs.get(key).is_some_and(is_over)
             && let Some(job) = self.jobs.remove(key)
         {
-            self.advice.retain(|step, _| step.job != *key);
+            self.advice.forget(key);
             self.ended.insert(key.clone(), EndedJob { state: job.state, at: self.last_wall });
         }
     }
--- a/crates/core/tests/sched/ends_model.rs
+++ b/crates/core/tests/sched/ends_model.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use carawaybarrow_core::sched::advice::AdviceOutcome;
 use carawaybarrow_core::sched::graph::{JobKey, JobSpec, TaskName, WorkerKey};
 use carawaybarrow_core::sched::order::{
     EndKind, FencingToken, MAX_ENDS_PER_ANSWER, Order, RunLists, StartAnswer, WorkerReport,
@@ -423,7 +424,7 @@
                 }
             }
             Order::LookUpJob { .. } => {}
-            Order::RequestAdvice { step, .. } => term.scheduler.apply_advice(now, &step, None),
+            Order::RequestAdvice { step, .. } => term.scheduler.apply_advice(now, &step, AdviceOutcome::Unanswered),
             Order::Pace { task, run, .. } => term.scheduler.apply_pace_answer(&task, run, true),
         }
     }
--- a/crates/core/tests/sched/lifecycle.rs
+++ b/crates/core/tests/sched/lifecycle.rs
@@ -1,5 +1,6 @@
 //! Lifecycle of a job under one scheduler.
 
+use carawaybarrow_core::sched::advice::AdviceOutcome;
 use carawaybarrow_core::sched::graph::{JobKey, Schedule, TeamName, WorkerKey};
 use carawaybarrow_core::sched::order::{Order, StartAnswer};
 use carawaybarrow_core::sched::progress::JobState;
@@ -176,7 +177,8 @@
     model.accept("j", job(vec![step(4, 1_000)]));
     model.run_for(500);
     assert_eq!(model.count_running(), 0, "there is no advice yet");
-    model.advice = Some((vec![(WorkerKey::new("w1"), "ticket".into())], Millis(3_000)));
+    model.advice =
+        AdviceOutcome::Allowed { tickets: vec![(WorkerKey::new("w1"), "ticket".into())], valid_for: Millis(3_000) };
     model.run_for(1_500);
     assert_eq!(model.worker_mut(1).runs.len(), 4);
     assert_eq!(model.count_running(), 4);
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler of job graphs against a simulation of workers and the store.
 
+mod advice;
 mod capacity;
 mod directory;
 mod division;
--- a/crates/core/tests/sched/model.rs
+++ b/crates/core/tests/sched/model.rs
@@ -4,12 +4,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use carawaybarrow_core::sched::advice::AdviceOutcome;
 use carawaybarrow_core::sched::graph::{
     JobKey, JobSpec, PoolName, QueueName, Resources, Step, TaskName, TeamName, VmKey, WorkerKey,
 };
 use carawaybarrow_core::sched::maintenance::{Vm, VmState};
 use carawaybarrow_core::sched::order::{EndKind, FencingToken, Order, StartAnswer, WorkerReport};
-use carawaybarrow_core::sched::policy::{Bounds, Policy, QueuePolicy, TeamPolicy};
+use carawaybarrow_core::sched::policy::{AdviceTimes, Bounds, Policy, QueuePolicy, TeamPolicy};
 use carawaybarrow_core::sched::progress::{JobRecord, JobState, Progress};
 use carawaybarrow_core::sched::recovery::{PREVIOUS_TERM_OVERRUN, QueuePools};
 use carawaybarrow_core::sched::scheduler::{Now, Scheduler};
@@ -54,7 +55,7 @@
     /// Run time of each task that starts from now on.
     pub work_ms: u64,
     /// Answer to each request for advice.
-    pub advice: Option<(Vec<(WorkerKey, smol_str::SmolStr)>, Millis)>,
+    pub advice: AdviceOutcome,
     /// Scheduler of the previous term that has not noticed its end yet.
     pub previous: Option<Scheduler>,
     /// Whether a worker has refused the token of the scheduler that acts.
@@ -73,6 +74,7 @@
         stretch: 2.0,
         allowance: Millis(500),
         needs_advice: false,
+        advice_times: AdviceTimes::default(),
     }
 }
 
@@ -168,7 +170,7 @@
             failed: BTreeMap::new(),
             stopped: 0,
             work_ms: 400,
-            advice: None,
+            advice: AdviceOutcome::Refused,
             previous: None,
             is_fenced: false,
             is_previous_acting: false,
