Play replacements of all entries in the soak test

The soak started entries again only at their addresses, so it could not find that entries which replace all others schedule nothing for a minute. The new scenario replaces one half of eight entries by the other half, at once, in turn by SIGKILL or SIGTERM, and while the earlier half has lost the store and still schedules, beside faults of the store and of workers.

--- a/crates/carawaybarrow/tests/soak.rs
+++ b/crates/carawaybarrow/tests/soak.rs
@@ -3,7 +3,8 @@
 //! workers and the responses that callers received.
 //!
 //! `SOAK_SEEDS=100..150 cargo test --release --test soak -- --nocapture` runs other seeds, and `SOAK_OUTAGE_SEEDS` those
-//! of long outages, `SOAK_DIVISION_SEEDS` those of divisions and `SOAK_CUT_SEEDS` those of cuts of data centres.
+//! of long outages, `SOAK_DIVISION_SEEDS` those of divisions, `SOAK_CUT_SEEDS` those of cuts of data centres and
+//! `SOAK_REPLACEMENT_SEEDS` those of replacements.
 //! `SOAK_SEEDS_AT_ONCE` sets how many seeds run at the same time.
 
 mod installation;
@@ -61,6 +62,12 @@
 /// Number of seeds with cuts of data centres that run at the same time, each with up to nine processes.
 const CUT_SEEDS_AT_ONCE: usize = 2;
 
+/// Seeds of the run in CI with replacements of all entries.
+const REPLACEMENT_SEEDS: [u64; 2] = [801, 802];
+
+/// Number of seeds with replacements that run at the same time, each with up to eight processes.
+const REPLACEMENT_SEEDS_AT_ONCE: usize = 2;
+
 /// Maximum time until a new installation accepts its first job.
 const START_LIMIT: Duration = Duration::from_secs(10);
 
@@ -198,6 +205,14 @@
     run_seeds(Scenario::DataCentreCuts, &seeds, CUT_SEEDS_AT_ONCE);
 }
 
+/// Guards against jobs that wait for a minute, and tasks that run twice, when all entries are replaced by others at other
+/// addresses, and the earlier ones may still schedule without the store.
+#[test]
+fn guarantees_hold_for_processes_in_replacements() {
+    let seeds = seeds_of("SOAK_REPLACEMENT_SEEDS").unwrap_or_else(|| REPLACEMENT_SEEDS.to_vec());
+    run_seeds(Scenario::Replacements, &seeds, REPLACEMENT_SEEDS_AT_ONCE);
+}
+
 /// Guards against an installation without a scheduler after its stronger entries were lost, because the weak one keeps
 /// yielding, and against a weak scheduler that stays although a stronger entry has returned.
 #[test]
--- a/crates/carawaybarrow/tests/soak_faults/mod.rs
+++ b/crates/carawaybarrow/tests/soak_faults/mod.rs
@@ -2,6 +2,7 @@
 
 mod data_centre_cuts;
 mod divisions;
+mod replacements;
 
 use std::collections::BTreeSet;
 use std::ops::Range;
@@ -138,6 +139,8 @@
     /// Two cuts of a data centre together with the scheduler that it holds, while the others lose the store at times, as
     /// in the record of users that the page `docs/incidents/cut-off-data-centre.md` evaluates.
     DataCentreCuts,
+    /// Replacements of all entries by others at other addresses, some of them beside faults of the store and of workers.
+    Replacements,
 }
 
 impl Scenario {
@@ -165,6 +168,13 @@
                 data_centres: 3,
                 more_in_first: 2,
             },
+            Self::Replacements => Size {
+                entries: replacements::ENTRIES,
+                workers: rng.random_range(9..19),
+                vm_api_delay: Some(Duration::from_millis(*[4, 500].choose(rng).expect("the list is not empty"))),
+                data_centres: 1,
+                more_in_first: 0,
+            },
         }
     }
 
@@ -172,7 +182,7 @@
     pub fn fault_duration(self, rng: &mut StdRng) -> Duration {
         match self {
             Self::Mixed => FAULT_DURATION,
-            Self::Outages | Self::Divisions => OUTAGES_DURATION,
+            Self::Outages | Self::Divisions | Self::Replacements => OUTAGES_DURATION,
             Self::DataCentreCuts => data_centre_cuts::draw_duration(rng),
         }
     }
@@ -180,7 +190,7 @@
     /// Number of tasks without an end.
     pub const fn lasting_tasks(self) -> u32 {
         match self {
-            Self::Mixed | Self::Outages => 3,
+            Self::Mixed | Self::Outages | Self::Replacements => 3,
             // On the workers of each side, so that a scheduler beside another one doubles some of them.
             Self::Divisions | Self::DataCentreCuts => 20,
         }
@@ -192,7 +202,7 @@
             Self::Mixed => SHORT_RUN_TIME_MS,
             Self::Outages => 50..4_000,
             // All jobs together take less than the time after the last fault, as few end in between.
-            Self::Divisions | Self::DataCentreCuts => 50..1_500,
+            Self::Divisions | Self::DataCentreCuts | Self::Replacements => 50..1_500,
         }
     }
 
@@ -211,6 +221,7 @@
             Self::Outages => (400..2_500, inject_outage),
             // Most divisions last undisturbed for longer than a successor waits for silent workers.
             Self::Divisions => (1_000..5_000, divisions::inject),
+            Self::Replacements => return replacements::inject_all(installation, rng, started, deadline).await,
             Self::DataCentreCuts => return data_centre_cuts::inject_all(installation, rng, started, deadline).await,
         };
         let mut faults = Vec::new();
