Do not repeat a look-up of a job while the store handles the first one

A worker's list drops its orphaned runs and adds them again, and with them the time of the last look-up, so the store was asked for the same job with each list of the worker, and again every 0.5 s, while the first request was in flight for up to 1 s.

--- a/crates/carawaybarrow/src/node/term_orders.rs
+++ b/crates/carawaybarrow/src/node/term_orders.rs
@@ -166,14 +166,20 @@
                     log::info!(job:% = job, created = created.0; "job of a listed run found in the store");
                     self.add_job(job, record, created.0);
                 }
-                Err(e) => log::error!(job:% = job, error:% = e; "the record of a job can't be read"),
+                Err(e) => {
+                    log::error!(job:% = job, error:% = e; "the record of a job can't be read");
+                    self.with(|s| s.record_failed_look_up(view::now().mono, job));
+                }
             },
             Ok(_) => {
                 log::warn!(job:% = job; "the store has no job for a listed run; the run is stopped");
                 self.with(|s| s.reject_orphans(job));
                 self.request_plan();
             }
-            Err(e) => log::info!(job:% = job, error:% = e; "the job of a listed run can't be read yet"),
+            Err(e) => {
+                log::info!(job:% = job, error:% = e; "the job of a listed run can't be read yet");
+                self.with(|s| s.record_failed_look_up(view::now().mono, job));
+            }
         }
     }
 
--- a/crates/core/src/sched/orphans.rs
+++ b/crates/core/src/sched/orphans.rs
@@ -11,7 +11,7 @@
 use crate::sched::worker::NEVER_STORED;
 use crate::units::{Millis, MonoTime};
 
-/// Time after which the store is asked again for a job when it has not answered.
+/// Pause before the store is asked again for a job, once it has not answered.
 const LOOKUP_RETRY: Millis = Millis(500);
 
 /// Runs and ends of one unknown job.
@@ -20,14 +20,22 @@
     runs: Vec<(WorkerKey, RunRow)>,
     /// Ends, each with the time since which the worker's incarnation is known, as each numbers its ends anew.
     ends: Vec<(WorkerKey, MonoTime, EndRow)>,
-    /// Time of the last request to look the job up.
-    asked: Option<MonoTime>,
+}
+
+/// Request to look up an unknown job.
+#[derive(Clone, Copy, Debug)]
+enum LookUp {
+    InFlight,
+    /// It got no answer by this time.
+    Failed(MonoTime),
 }
 
 /// Runs and ends of unknown jobs.
 #[derive(Debug, Default)]
 pub(super) struct Orphans {
     by_job: Map<JobKey, Orphan>,
+    /// Requests to look up jobs. They outlive a worker's list, as the next one replaces its orphaned runs.
+    look_ups: Map<JobKey, LookUp>,
 }
 
 impl Orphans {
@@ -79,22 +87,33 @@
 
     /// Repeats requests to look up jobs that the store has not answered.
     pub(super) fn repeat_lookups(&mut self, now: MonoTime) {
-        let jobs: Vec<JobKey> = self.orphans.by_job.keys().cloned().collect();
+        let Orphans { by_job, look_ups } = &mut self.orphans;
+        look_ups.retain(|job, look_up| by_job.contains_key(job) || matches!(look_up, LookUp::InFlight));
+        let jobs: Vec<JobKey> = by_job.keys().cloned().collect();
         for job in jobs {
             self.look_up_job(now, &job);
         }
     }
 
     fn look_up_job(&mut self, now: MonoTime, job: &JobKey) {
-        let Some(orphan) = self.orphans.by_job.get_mut(job) else { return };
-        if orphan.asked.is_none_or(|at| now.since(at) >= LOOKUP_RETRY) {
-            orphan.asked = Some(now);
+        let must_wait = |look_up: &LookUp| match look_up {
+            LookUp::InFlight => true,
+            LookUp::Failed(at) => now.since(*at) < LOOKUP_RETRY,
+        };
+        if !self.orphans.look_ups.get(job).is_some_and(must_wait) {
+            self.orphans.look_ups.insert(job.clone(), LookUp::InFlight);
             self.orders.push(Order::LookUpJob { job: job.clone() });
         }
     }
 
+    /// Records that the store gave no usable answer to the request to look up a job.
+    pub fn record_failed_look_up(&mut self, now: MonoTime, job: &JobKey) {
+        self.orphans.look_ups.insert(job.clone(), LookUp::Failed(now));
+    }
+
     /// Applies the ends and runs that workers listed before the scheduler knew the job.
     pub(super) fn adopt_orphans(&mut self, now: MonoTime, job: &JobKey) {
+        self.orphans.look_ups.remove(job);
         let Some(orphan) = self.orphans.by_job.remove(job) else { return };
         for (worker, since, end) in orphan.ends {
             let needs = self.end_run(now, &worker, &end.task, end.run, end.kind, &end.checkpoint);
@@ -112,6 +131,7 @@
 
     /// Stops the runs of a job that the store does not hold or shows as ended, and lets workers discard its ends.
     pub fn reject_orphans(&mut self, job: &JobKey) {
+        self.orphans.look_ups.remove(job);
         let Some(orphan) = self.orphans.by_job.remove(job) else { return };
         for (worker, since, end) in orphan.ends {
             if let Some(known) = self.workers.get_mut(&worker).filter(|w| w.known_since == since) {
--- a/crates/core/tests/sched/ends_model.rs
+++ b/crates/core/tests/sched/ends_model.rs
@@ -423,7 +423,7 @@
                     None => term.scheduler.reject_orphans(&job),
                 }
             }
-            Order::LookUpJob { .. } => {}
+            Order::LookUpJob { job } => term.scheduler.record_failed_look_up(self.time_of(term).mono, &job),
             Order::RequestAdvice { step, .. } => term.scheduler.apply_advice(now, &step, AdviceOutcome::Unanswered),
             Order::Pace { task, run, .. } => term.scheduler.apply_pace_answer(&task, run, true),
         }
--- a/crates/core/tests/sched/model.rs
+++ b/crates/core/tests/sched/model.rs
@@ -385,7 +385,7 @@
                 self.scheduler.apply_stop_answer(now, &task, run, is_accepted);
             }
             Order::LookUpJob { job } if !self.store.is_down => self.look_up(&job),
-            Order::LookUpJob { .. } => {}
+            Order::LookUpJob { job } => self.scheduler.record_failed_look_up(now, &job),
             Order::RequestAdvice { step, .. } => self.scheduler.apply_advice(now, &step, self.advice.clone()),
             Order::Pace { task, run, .. } => self.scheduler.apply_pace_answer(&task, run, true),
         }
--- a/crates/core/tests/sched/takeover.rs
+++ b/crates/core/tests/sched/takeover.rs
@@ -1,12 +1,12 @@
 //! Which tasks a new scheduler may start after a takeover.
 
-use carawaybarrow_core::sched::graph::{JobSpec, Step, WorkerKey};
+use carawaybarrow_core::sched::graph::{JobKey, JobSpec, Step, WorkerKey};
 use carawaybarrow_core::sched::maintenance::{Vm, VmState};
 use carawaybarrow_core::sched::order::Order;
 use carawaybarrow_core::sched::progress::JobState;
 use carawaybarrow_core::units::{Millis, MonoTime};
 
-use super::model::{Model, job, step};
+use super::model::{Model, STEP_MS, job, step};
 use super::model_worker::ModelRun;
 
 /// Guards against tasks that are started again although their runs of the previous term continue.
@@ -461,3 +461,33 @@
     model.run_for(100);
     assert_eq!(model.count_running(), 1);
 }
+
+/// Guards against a slow store that is asked for a job again, with each list of a worker, while it handles the first request.
+#[test]
+fn look_up_in_flight_is_not_repeated() {
+    let mut model = Model::new(1);
+    model.run_for(500);
+    let orphan = "gone.0.0.0".parse().expect("a task name");
+    let size = model.worker_mut(0).report.capacity;
+    model
+        .worker_mut(0)
+        .runs
+        .insert(orphan, ModelRun { run: 1, remaining_ms: 60_000, work_ms: 60_000, size, stopping_ms: None });
+    model.worker_mut(0).lease_until = u64::MAX;
+    let look_ups_in = |model: &mut Model, duration_ms: u64| {
+        let mut look_ups = 0;
+        for _ in 0..duration_ms / STEP_MS {
+            model.poll_all();
+            model.scheduler.tick(model.time());
+            model.scheduler.plan(model.time());
+            let orders = model.scheduler.take_orders();
+            look_ups += orders.iter().filter(|order| matches!(order, Order::LookUpJob { .. })).count();
+            model.advance_time();
+        }
+        look_ups
+    };
+    assert_eq!(look_ups_in(&mut model, 3_000), 1);
+    model.scheduler.record_failed_look_up(MonoTime(model.now), &JobKey::new("gone"));
+    assert_eq!(look_ups_in(&mut model, 400), 0, "the store is asked again at once");
+    assert_eq!(look_ups_in(&mut model, 3_000), 1);
+}
