Wait for a list of VMs that takes longer than 1 s

With a slower one no list was ever read, so no VM moved, no wave advanced, and a worker that was lost with its VM was not known to have ended, which also keeps an entry from fencing the last term.

The limit is now 1 s and twice the time of the last answer, and doubles with each list in a row without one, three times at most. Requests for advice use the same rule (AnswerTime).

slow_list_of_vms_is_waited_for, with lists of 1.5 s, failed before and passes.

--- a/crates/carawaybarrow/src/node/fencing.rs
+++ b/crates/carawaybarrow/src/node/fencing.rs
@@ -16,6 +16,7 @@
 use crate::node::records::{self, FENCER_KEY, RECOVERY_SET_KEY, SCHEDULER_KEY, TERM_COUNT_KEY};
 use crate::node::term_start::StartError;
 use crate::node::view::{self, STORE_TIMEOUT, View};
+use crate::node::vm_orders;
 
 /// Length of the lease of the entry that fences. One entry does at a time, as it asks all workers.
 const FENCER_LEASE: Millis = Millis(5_000);
@@ -26,9 +27,6 @@
 /// Workers that are asked at the same time.
 const ASKED_AT_ONCE: usize = 64;
 
-/// Time for a page of the list of VMs.
-const VM_LIST_TIMEOUT: Duration = Duration::from_millis(1_000);
-
 /// Pause before the workers that gave no answer are asked again.
 const ROUND_PAUSE: Duration = Duration::from_millis(500);
 
@@ -135,6 +133,7 @@
     let began = view::now().mono;
     let workers = WorkerClient::new(&view.settings.entry);
     let vms = view.settings.vm_list.map(|address| VmClient::new(address, &view.settings.entry));
+    let mut list_time = vm_orders::new_list_time();
     loop {
         ask_workers(&workers, &mut fence, token).await;
         if fence.is_complete() {
@@ -144,7 +143,7 @@
         }
         if let Some(vms) = &vms {
             let requested = view::now().mono;
-            match vms.list(VM_LIST_TIMEOUT).await {
+            match vm_orders::list_vms(vms, &mut list_time).await {
                 Ok(listed) => fence.apply_vm_list(requested, &listed),
                 Err(e) => log::info!(error:% = e; "the list of VMs can't be read"),
             }
--- a/crates/carawaybarrow/src/node/vm_orders.rs
+++ b/crates/carawaybarrow/src/node/vm_orders.rs
@@ -5,6 +5,7 @@
 
 use async_std::task;
 use carawaybarrow_core::Set;
+use carawaybarrow_core::answer_time::AnswerTime;
 use carawaybarrow_core::sched::balance::BalanceState;
 use carawaybarrow_core::sched::candidacy::Strength;
 use carawaybarrow_core::sched::graph::VmKey;
@@ -21,9 +22,12 @@
 use crate::node::term::Term;
 use crate::node::view::{self, STORE_TIMEOUT};
 
-/// Time for an answer of the VM API: a page of the list of VMs, or an order.
+/// Time for the answer to an order, and margin of the time for a page of the list of VMs.
 const VM_API_TIMEOUT: Duration = VM_CALL_LIMIT.to_duration();
 
+/// Number of lists in a row without an answer up to which the time for the next one doubles.
+const MAX_LIST_DOUBLINGS: u32 = 3;
+
 /// Time between reads of the requested waves.
 const WAVE_INTERVAL: Millis = Millis(1_000);
 
@@ -61,6 +65,7 @@
     let mut waves_read_at = None;
     let mut listed: Vec<Vm> = Vec::new();
     let mut next_list = MonoTime(0);
+    let mut list_time = new_list_time();
     while !term.is_ended() {
         let now = view::now().mono;
         if waves_read_at.is_none_or(|at| now.since(at) >= WAVE_INTERVAL) {
@@ -69,7 +74,7 @@
         }
         if now >= next_list {
             let requested = view::now().mono;
-            match vms.list(VM_API_TIMEOUT).await {
+            match list_vms(&vms, &mut list_time).await {
                 Ok(new) => listed = new,
                 Err(e) => {
                     log::info!(error:% = e; "the list of VMs can't be read");
@@ -116,6 +121,28 @@
     }
 }
 
+/// Time for lists of VMs before the first one.
+#[must_use]
+pub const fn new_list_time() -> AnswerTime {
+    AnswerTime::new(VM_CALL_LIMIT, MAX_LIST_DOUBLINGS)
+}
+
+/// Lists the VMs.
+///
+/// # Errors
+///
+/// Fails if the API gives no usable answer in the time that its last answers require.
+pub async fn list_vms(vms: &VmClient, time: &mut AnswerTime) -> Result<Vec<Vm>, StoreError> {
+    let requested = view::now().mono;
+    let listed = vms.list(time.limit(Millis(0)).to_duration()).await;
+    match &listed {
+        Ok(_) => time.record_answer(view::now().mono.since(requested)),
+        Err(e) if e.may_have_taken_effect() => time.record_unanswered(),
+        Err(_) => {}
+    }
+    listed
+}
+
 /// Time between lists of `count` VMs, so that lists leave bandwidth and CPU to orders and answers.
 fn list_interval(strength: &Strength, count: usize) -> Millis {
     let transfer = strength.transfer_time(count as u64 * VM_BYTES);
--- a/crates/carawaybarrow/tests/replaced_entries.rs
+++ b/crates/carawaybarrow/tests/replaced_entries.rs
@@ -13,7 +13,7 @@
 use installation::{Installation, KEY, Size, restart};
 
 /// Seeds of the installations, which select their IP addresses.
-const SEEDS: [u64; 4] = [231, 232, 233, 234];
+const SEEDS: [u64; 5] = [231, 232, 233, 234, 236];
 
 /// Entries of which the first half is lost and replaced by the second half.
 const SIZE: Size =
@@ -37,8 +37,8 @@
 }
 
 /// Loses the earlier entries by `lose`, which also starts others, and checks that these serve within the limit.
-async fn check_recovery(seed: u64, lose: impl AsyncFnOnce(&Installation)) {
-    let installation = Installation::start_first(seed, SIZE, EARLIER).await;
+async fn check_recovery(seed: u64, size: Size, lose: impl AsyncFnOnce(&Installation)) {
+    let installation = Installation::start_first(seed, size, EARLIER).await;
     let (caller, addresses) = (Caller::new(KEY), installation.addresses());
     installation::await_start(&installation, &caller).await;
     let lasting = Job { id: format!("{seed:016x}"), steps: vec![LASTING_TASKS], run_time_ms: None };
@@ -78,27 +78,38 @@
     installation.entries[usize::from(EARLIER)..].iter().for_each(|entry| restart(entry));
 }
 
+/// Does the same after the loss of a worker.
+async fn lose_worker_and_replace_all(installation: &Installation) {
+    installation.fleet.crash(0, RECOVERY_LIMIT * 4);
+    installation.worker_proxies[0].reset();
+    replace_all(installation).await;
+}
+
 /// Guards against an installation that schedules nothing for a minute because no entry is left that the last scheduler
 /// listed. Seen in review/10.
 #[test]
 fn entries_that_replace_all_others_schedule_soon() {
-    task::block_on(check_recovery(SEEDS[0], replace_all));
+    task::block_on(check_recovery(SEEDS[0], SIZE, replace_all));
 }
 
 /// Guards against the same if a worker is lost with the entries, so that it can't refuse the last scheduler's orders.
 #[test]
 fn entries_that_replace_all_others_need_no_answer_of_a_lost_worker() {
-    task::block_on(check_recovery(SEEDS[1], async |installation| {
-        installation.fleet.crash(0, RECOVERY_LIMIT * 4);
-        installation.worker_proxies[0].reset();
-        replace_all(installation).await;
-    }));
+    task::block_on(check_recovery(SEEDS[1], SIZE, lose_worker_and_replace_all));
+}
+
+/// Guards against lists of VMs that all time out, as each takes longer than the first limit, so that nobody learns that a
+/// worker has ended.
+#[test]
+fn slow_list_of_vms_is_waited_for() {
+    let size = Size { vm_api_delay: Some(Duration::from_millis(1_500)), ..SIZE };
+    task::block_on(check_recovery(SEEDS[4], size, lose_worker_and_replace_all));
 }
 
 /// Guards against the same if entries are replaced one after another, faster than the scheduler reads which there are.
 #[test]
 fn entries_that_replace_others_in_turn_schedule_soon() {
-    task::block_on(check_recovery(SEEDS[2], async |installation| {
+    task::block_on(check_recovery(SEEDS[2], SIZE, async |installation| {
         for entry in 0..usize::from(EARLIER) {
             kill(installation, entry);
             restart(&installation.entries[entry + usize::from(EARLIER)]);
@@ -110,7 +121,7 @@
 /// Guards against the same if one entry is started again and the others are replaced.
 #[test]
 fn entries_that_replace_others_beside_a_restarted_one_schedule_soon() {
-    task::block_on(check_recovery(SEEDS[3], async |installation| {
+    task::block_on(check_recovery(SEEDS[3], SIZE, async |installation| {
         replace_all(installation).await;
         restart(&installation.entries[0]);
     }));
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 //! - *Keyed work* is the jobs of queues that require a team's API key.
 
 pub mod admission;
+pub mod answer_time;
 pub mod breaker;
 pub mod burn;
 pub mod byte_budget;
--- a/crates/core/src/sched/advice.rs
+++ b/crates/core/src/sched/advice.rs
@@ -8,6 +8,7 @@
 
 use smol_str::SmolStr;
 
+use crate::answer_time::AnswerTime;
 use crate::map::Map;
 use crate::sched::graph::{JobKey, WorkerKey};
 use crate::sched::order::Order;
@@ -93,18 +94,26 @@
 }
 
 /// Advice for all steps.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Advice {
     steps: Map<StepName, StepAdvice>,
     in_flight: Option<Request>,
-    /// Time that the last answer took.
-    last_answer_time: Millis,
-    /// Requests in a row without an answer.
-    unanswered: u32,
+    answer_time: AnswerTime,
     /// Time before which no request is made.
     paused_until: MonoTime,
 }
 
+impl Default for Advice {
+    fn default() -> Self {
+        Self {
+            steps: Map::default(),
+            in_flight: None,
+            answer_time: AnswerTime::new(ANSWER_MARGIN, MAX_DOUBLINGS),
+            paused_until: MonoTime(0),
+        }
+    }
+}
+
 impl Advice {
     /// Ticket for a step on a worker; `None` if the step may not run there.
     pub(super) fn ticket(&self, step: &StepName, worker: &WorkerKey) -> Option<SmolStr> {
@@ -142,9 +151,7 @@
         let waiting = self.steps.iter_mut().filter(|(_, known)| known.wanted_at == now && !known.wanted.is_empty());
         let (step, known) = waiting.min_by(|(a, x), (b, y)| (x.waits_since, a).cmp(&(y.waits_since, b)))?;
         let workers = std::mem::take(&mut known.wanted);
-        let answer_time = known.times.answer_time(workers.len());
-        let expected = Millis(answer_time.0.max(self.last_answer_time.0));
-        let time_limit = Millis((expected.0 * 2 + ANSWER_MARGIN.0) << self.unanswered.min(MAX_DOUBLINGS));
+        let time_limit = self.answer_time.limit(known.times.answer_time(workers.len()));
         self.in_flight = Some(Request { step: step.clone(), workers: workers.clone(), sent: now });
         Some(Order::RequestAdvice { step: step.clone(), workers, time_limit })
     }
@@ -152,8 +159,7 @@
     fn apply(&mut self, now: MonoTime, step: &StepName, outcome: AdviceOutcome) {
         let Some(request) = self.in_flight.take_if(|request| request.step == *step) else { return };
         if matches!(outcome, AdviceOutcome::Allowed { .. }) {
-            self.unanswered = 0;
-            self.last_answer_time = now.since(request.sent);
+            self.answer_time.record_answer(now.since(request.sent));
         }
         // The job may have ended meanwhile.
         let known = self.steps.get_mut(step);
@@ -174,7 +180,7 @@
                 self.paused_until = now + answer_time.max(MIN_PAUSE);
             }
             AdviceOutcome::Unanswered => {
-                self.unanswered = self.unanswered.saturating_add(1);
+                self.answer_time.record_unanswered();
                 // The connection may have broken at once.
                 self.paused_until = now + MIN_PAUSE;
                 // The others come first.
