Forget advice that is no longer used

Advice was kept until its job ended. It now also holds the workers on which a step may not run, and a job with many times has many steps, so it is dropped 10 s after it is no longer valid.

--- a/crates/core/src/sched/advice.rs
+++ b/crates/core/src/sched/advice.rs
@@ -25,6 +25,9 @@
 /// Minimum pause after a request without advice.
 const MIN_PAUSE: Millis = Millis(500);
 
+/// Time after which advice that is no longer used is forgotten. It may still be sent with a start that is repeated.
+const RETENTION: Millis = Millis(10_000);
+
 /// Part of the validity of advice for which it is used, in percent.
 const USE_PERCENT: u64 = 70;
 
@@ -148,6 +151,9 @@
         if self.in_flight.is_some() || now < self.paused_until {
             return None;
         }
+        let is_needed =
+            |known: &StepAdvice| known.wanted_at == now || known.workers.values().any(|a| now < a.until + RETENTION);
+        self.steps.retain(|_, known| is_needed(known));
         let waiting = self.steps.iter_mut().filter(|(_, known)| known.wanted_at == now && !known.wanted.is_empty());
         let (step, known) = waiting.min_by(|(a, x), (b, y)| (x.waits_since, a).cmp(&(y.waits_since, b)))?;
         let workers = std::mem::take(&mut known.wanted);
