Spread the attempts of waiting entries to fence the last term

Each waiting entry read the documents of the last term and claimed the fencing each 0.5 s. 300 equal entries would have made about 5,000 calls of the store a second while there is no scheduler, more than it accepts.

The first attempts are spread over 20 ms for each other entry and the next ones follow after 0.5 s and as much, so all entries make at most 50 attempts a second (waiting_entries_share_a_rate_of_attempts). An entry reads whether another one fences before it takes a lease.

--- a/crates/carawaybarrow/src/node/fencing.rs
+++ b/crates/carawaybarrow/src/node/fencing.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use async_std::task;
-use carawaybarrow_core::sched::fence::Fence;
+use carawaybarrow_core::sched::fence::{self, FENCING_DELAY, Fence};
 use carawaybarrow_core::sched::order::{FencingToken, WorkerReport};
 use carawaybarrow_core::sched::scheduler::Poll;
 use carawaybarrow_core::units::{Millis, MonoTime};
@@ -12,6 +12,7 @@
 use carawaybarrow_platform::vms::VmClient;
 use carawaybarrow_platform::workers::WorkerClient;
 use futures::StreamExt;
+use rand::Rng;
 
 use crate::node::records::{self, FENCER_KEY, RECOVERY_SET_KEY, SCHEDULER_KEY, TERM_COUNT_KEY};
 use crate::node::term_start::StartError;
@@ -50,6 +51,8 @@
 #[derive(Debug, Default)]
 struct State {
     is_running: bool,
+    /// Number of terms that had begun, and the time without a scheduler after which this entry fences the last one.
+    delay: Option<(u32, Millis)>,
     /// Number of terms that had begun when the last one was fenced.
     fenced: Option<u32>,
 }
@@ -61,6 +64,15 @@
         self.state.lock().expect("no holder panics").fenced == Some(terms)
     }
 
+    /// Time without a scheduler after which this entry fences the last of a number of terms.
+    #[must_use]
+    pub fn delay(&self, terms: u32, other_entries: usize) -> Millis {
+        let mut state = self.state.lock().expect("no holder panics");
+        let known = state.delay.filter(|(known, _)| *known == terms);
+        let draw = || (terms, FENCING_DELAY + Millis(rand::rng().random_range(0..=fence::spread(other_entries).0)));
+        state.delay.insert(known.unwrap_or_else(draw)).1
+    }
+
     /// Begins to fence an ended term, unless that goes on already.
     pub fn begin(self: &Arc<Self>, view: &Arc<View>, ended: EndedTerm) {
         if std::mem::replace(&mut self.state.lock().expect("no holder panics").is_running, true) {
@@ -68,7 +80,7 @@
         }
         let (fencing, view) = (Arc::clone(self), Arc::clone(view));
         task::spawn(async move {
-            let is_complete = fence(&view, ended).await.unwrap_or_else(|e| {
+            let is_complete = fence_term(&view, ended).await.unwrap_or_else(|e| {
                 log::info!(error:% = e; "the last term can't be fenced yet");
                 false
             });
@@ -84,7 +96,7 @@
 
 /// Fences an ended term. Returns whether its scheduler can't act any more; `false` if a later term has begun, another entry
 /// fences, or the store is lost.
-async fn fence(view: &Arc<View>, ended: EndedTerm) -> Result<bool, StartError> {
+async fn fence_term(view: &Arc<View>, ended: EndedTerm) -> Result<bool, StartError> {
     let Some((lease, token)) = claim(view, ended).await? else { return Ok(false) };
     let outcome = fence_as(view, ended, lease, token).await;
     if let Err(e) = view.store.end_lease(lease, STORE_TIMEOUT).await {
@@ -96,6 +108,10 @@
 /// Claims the fencing, if there is no scheduler and no other entry fences. Returns a token that is higher than that of the
 /// ended term and lower than that of each later one.
 async fn claim(view: &View, ended: EndedTerm) -> Result<Option<(LeaseId, FencingToken)>, StartError> {
+    // A read costs the store less than a lease that is not used.
+    if view.store.get(FENCER_KEY, STORE_TIMEOUT).await?.is_some_and(|item| item.value.is_some()) {
+        return Ok(None);
+    }
     let length = FENCER_LEASE.max(view.settings.min_store_lease);
     let lease = view.store.grant_lease(length.to_duration(), STORE_TIMEOUT).await?;
     let change = Change {
--- a/crates/carawaybarrow/src/node/term_start.rs
+++ b/crates/carawaybarrow/src/node/term_start.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use carawaybarrow_core::sched::fence::FENCING_DELAY;
+use carawaybarrow_core::sched::fence;
 use carawaybarrow_core::sched::order::FencingToken;
 use carawaybarrow_core::sched::scheduler::Scheduler;
 use carawaybarrow_core::sched::succession::{Succession, UNLISTED_DELAY, Vacancy};
@@ -26,9 +26,6 @@
 /// outages; a longer one would leave the pools without a scheduler for longer after a failure.
 const TERM_LEASE: Millis = Millis(1_500);
 
-/// Time between attempts to begin a term while the last one is being fenced.
-const FENCING_CHECK: Millis = Millis(500);
-
 /// Why a term could not begin.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(super)))]
@@ -176,12 +173,13 @@
         let Some(ended_by) = vacancy.since(self.terms).filter(|_| self.last.as_ref().is_some_and(is_fenceable)) else {
             return Millis(u64::MAX);
         };
-        let remaining = FENCING_DELAY.saturating_sub(view::now().mono.since(ended_by));
+        let others = view.other_entries().len();
+        let remaining = fencing.delay(self.terms, others).saturating_sub(view::now().mono.since(ended_by));
         if remaining > Millis(0) {
             return remaining;
         }
         fencing.begin(view, EndedTerm { terms: self.terms, terms_revision: self.terms_revision, ended_by });
-        FENCING_CHECK
+        fence::attempt_interval(others)
     }
 
     /// What tells when the last scheduler stops by itself; `None` if its lease may have ended for another reason than that it
--- a/crates/core/src/sched/fence.rs
+++ b/crates/core/src/sched/fence.rs
@@ -21,6 +21,25 @@
 /// [`FENCING_DELAY`] by more than clocks differ in that time.
 pub const UNFENCED_TIME: Millis = Millis(1_000);
 
+/// Minimum time between attempts of an entry to fence the last term.
+const MIN_ATTEMPT_INTERVAL: Millis = Millis(500);
+
+/// Time by which that interval is longer for each other entry. Together they make at most 50 attempts a second, each of which takes
+/// up to ten calls of the store.
+const INTERVAL_PER_ENTRY: Millis = Millis(20);
+
+/// Time between attempts of an entry to fence the last term. All entries may be waiting.
+#[must_use]
+pub const fn attempt_interval(other_entries: usize) -> Millis {
+    Millis(MIN_ATTEMPT_INTERVAL.0 + spread(other_entries).0)
+}
+
+/// Time over which the first attempts of the entries are spread, so that most of them find that another one fences.
+#[must_use]
+pub const fn spread(other_entries: usize) -> Millis {
+    Millis(INTERVAL_PER_ENTRY.0.saturating_mul(other_entries as u64))
+}
+
 /// Workers on which the scheduler of the last term may still act.
 #[derive(Clone, Debug)]
 pub struct Fence {
--- a/crates/core/tests/sched/fence.rs
+++ b/crates/core/tests/sched/fence.rs
@@ -1,6 +1,6 @@
 //! Fencing of a term whose scheduler may still act without the store.
 
-use carawaybarrow_core::sched::fence::{FENCING_DELAY, Fence};
+use carawaybarrow_core::sched::fence::{self, FENCING_DELAY, Fence};
 use carawaybarrow_core::sched::graph::WorkerKey;
 use carawaybarrow_core::sched::maintenance::VmState;
 use carawaybarrow_core::sched::order::FencingToken;
@@ -67,6 +67,16 @@
     assert!(Fence::new(ENDED, vec![report(0), unknown]).is_none());
 }
 
+/// Guards against entries that use up the calls that the store accepts while they wait for a scheduler.
+#[test]
+fn waiting_entries_share_a_rate_of_attempts() {
+    for others in [0, 2, 8, 33, 146, 300, 5_000] {
+        let attempts_per_s = (others as u64 + 1) * 1_000 / fence::attempt_interval(others).0;
+        assert!(attempts_per_s <= 50, "{attempts_per_s} with {others} others");
+    }
+    assert!(fence::attempt_interval(8) <= Millis(1_000), "a few entries try often");
+}
+
 /// Guards against a task that a scheduler without the store starts although its term was fenced: a worker that has
 /// restarted since has seen no token.
 #[test]
