--- a/spec/succession.pml
+++ b/spec/succession.pml
@@ -205,7 +205,9 @@
   do
   :: s < TERMS ->
      if
+#ifndef UNNAMED_RESTART
      :: is_active[s] && reach[s] == 0 && (newest_term > s + 1 || !has_key) -> end_term(s)
+#endif
      :: !is_active[s] -> reach[s] = 0
      /* It can name each worker that has restarted. */
      :: is_active[s] && newest_term == s + 1 && has_key -> reach[s] = ALL_WORKERS
