--- a/crates/core/tests/sched/takeover.rs
+++ b/crates/core/tests/sched/takeover.rs
@@ -236,12 +236,8 @@
     assert_ne!(model.state("before"), Some(JobState::Queued), "the leases have lapsed");
 }
 
-/// Guards against a worker over its capacity, because tasks start beside orphaned runs: the resources of a run whose
-/// job has ended are unknown until the run is stopped. Seen in the recorded run scale-1.
-#[test]
-fn nothing_starts_beside_an_orphaned_run() {
-    let mut model = Model::new(1);
-    model.run_for(500);
+/// Lets the first worker run a task of a job that the store does not have.
+fn add_orphaned_run(model: &mut Model) {
     let orphan = "gone.0.0.0".parse().expect("a task name");
     let size = model.worker_mut(0).report.capacity;
     model
@@ -249,6 +245,15 @@
         .runs
         .insert(orphan, ModelRun { run: 1, remaining_ms: 60_000, work_ms: 60_000, size, stopping_ms: None });
     model.worker_mut(0).lease_until = u64::MAX;
+}
+
+/// Guards against a worker over its capacity, because tasks start beside orphaned runs: the resources of a run whose
+/// job has ended are unknown until the run is stopped. Seen in the recorded run scale-1.
+#[test]
+fn nothing_starts_beside_an_orphaned_run() {
+    let mut model = Model::new(1);
+    model.run_for(500);
+    add_orphaned_run(&mut model);
     model.accept("j", job(vec![step(1, 1_000)]));
     model.poll_all();
     model.scheduler.plan(model.time());
@@ -467,13 +472,7 @@
 fn look_up_in_flight_is_not_repeated() {
     let mut model = Model::new(1);
     model.run_for(500);
-    let orphan = "gone.0.0.0".parse().expect("a task name");
-    let size = model.worker_mut(0).report.capacity;
-    model
-        .worker_mut(0)
-        .runs
-        .insert(orphan, ModelRun { run: 1, remaining_ms: 60_000, work_ms: 60_000, size, stopping_ms: None });
-    model.worker_mut(0).lease_until = u64::MAX;
+    add_orphaned_run(&mut model);
     let look_ups_in = |model: &mut Model, duration_ms: u64| {
         let mut look_ups = 0;
         for _ in 0..duration_ms / STEP_MS {
