Run the soak of replacements alone

The new test had started up to 16 more processes beside the nine others. It now waits until they have ended, and they wait for it. Its checks and seeds are unchanged.

--- a/crates/carawaybarrow/tests/soak.rs
+++ b/crates/carawaybarrow/tests/soak.rs
@@ -12,6 +12,7 @@
 
 use std::collections::BTreeSet;
 use std::fs;
+use std::sync::{PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -94,6 +95,20 @@
 /// the same addresses.
 const STORE_LOSS_SEED: u64 = 248;
 
+/// Held while a test of this file runs, exclusively by those that start so many processes that the limits of the others, which
+/// depend on time, would not hold beside them.
+static MACHINE: RwLock<()> = RwLock::new(());
+
+/// Waits until a test may run beside the others.
+fn share_machine() -> RwLockReadGuard<'static, ()> {
+    MACHINE.read().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Waits until a test may run alone.
+fn occupy_machine() -> RwLockWriteGuard<'static, ()> {
+    MACHINE.write().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Runs one seed. Returns a message for each violation of a guarantee.
 async fn run_seed(scenario: Scenario, seed: u64) -> Vec<String> {
     let mut rng = StdRng::seed_from_u64(seed);
@@ -157,6 +172,9 @@
 
 /// Runs seeds, some of them at the same time, and fails if a guarantee was violated.
 fn run_seeds(scenario: Scenario, seeds: &[u64], seeds_at_once: usize) {
+    let runs_alone = matches!(scenario, Scenario::Replacements);
+    let _alone = runs_alone.then(occupy_machine);
+    let _shared = (!runs_alone).then(share_machine);
     let at_once = std::env::var("SOAK_SEEDS_AT_ONCE").map(|text| text.parse().expect("a number"));
     let seeds_at_once = at_once.unwrap_or(seeds_at_once);
     let mut failed = Vec::new();
@@ -217,6 +235,7 @@
 /// yielding, and against a weak scheduler that stays although a stronger entry has returned.
 #[test]
 fn weak_entry_schedules_until_a_stronger_one_returns() {
+    let _shared = share_machine();
     task::block_on(async {
         let installation = Installation::start(HANDOVER_SEED, Size::SMALL).await;
         let caller = Caller::new(KEY);
@@ -243,6 +262,7 @@
 /// still starts jobs of which other entries notify it, while its successor learns of them later.
 #[test]
 fn schedulers_that_lose_only_the_store_double_nothing() {
+    let _shared = share_machine();
     task::block_on(async {
         let installation = Installation::start(STORE_LOSS_SEED, Size::SMALL).await;
         let entries = installation.addresses();
@@ -275,6 +295,7 @@
 /// Checks that no task of a lasting job runs twice, and that all run in the end, while `divide` cuts off the scheduler for
 /// [`ISOLATION_DURATION`]. `divide` gets the index of the scheduler. At first, only the first `started` entries run.
 fn check_lasting_job(seed: u64, size: Size, started: u8, divide: fn(&Installation, usize) -> String) {
+    let _shared = share_machine();
     task::block_on(async {
         let installation = Installation::start_first(seed, size, started).await;
         let (caller, entries) = (Caller::new(KEY), installation.addresses());
