Keep the load of the limit test up until the limit is reached

No more than the limit ever ran.

Cause: the test submitted 200 jobs of 30 ms once and then required that the limit had been reached.

Change: the same 200 jobs are served, and a load goes on beside them until the limit is reached, as in the other tests of the file. The bound is the same, exactly the limit, over more jobs.

The product is unchanged.

--- a/crates/carawaybarrow/tests/limit.rs
+++ b/crates/carawaybarrow/tests/limit.rs
@@ -71,7 +71,11 @@
             (job.clone(), outcome.await)
         }
     };
-    let outcomes = futures::future::join_all((0..200).map(submit)).await;
+    // The jobs may end before all entries have permits, so a load beside them goes on until the limit is reached.
+    let load = start_load(&cluster, "load");
+    let jobs = futures::future::join_all((0..200).map(submit));
+    let (outcomes, ()) = futures::join!(jobs, wait_until_limit_reached(&cluster, LIMIT));
+    load.stop().await;
     check_peak(&cluster, &outcomes).await;
 }
 
