Ask for a new ticket when a worker has restarted or rejected the old one

Cause: tickets were kept by step and worker id and dropped by age alone, and a rejected ticket counted as a passing refusal of the worker, so the same ticket was sent each 0.4 s. Related: that a step may not run on a worker lapsed like a ticket, so of many workers only the first ones were asked about again and again.

Change: advice on a worker is forgotten when it has restarted or ended, also that of the call in flight; a rejected ticket is forgotten unless it was received after the start was ordered; a denial holds while the step waits and the worker lives. The next plan asks about the workers without advice alone.

Evidence: the four new tests of `core/tests/sched/advice.rs` fail on the code before and pass now.

--- a/crates/core/src/sched/advice.rs
+++ b/crates/core/src/sched/advice.rs
@@ -10,7 +10,7 @@
 
 use crate::answer_time::AnswerTime;
 use crate::map::Map;
-use crate::sched::graph::{JobKey, WorkerKey};
+use crate::sched::graph::{JobKey, TaskName, WorkerKey};
 use crate::sched::order::Order;
 use crate::sched::policy::AdviceTimes;
 use crate::sched::scheduler::Scheduler;
@@ -45,6 +45,12 @@
     pub step: u32,
 }
 
+impl From<&TaskName> for StepName {
+    fn from(task: &TaskName) -> Self {
+        Self { job: task.job.clone(), occurrence: task.occurrence, step: task.step }
+    }
+}
+
 impl fmt::Display for StepName {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}.{}", self.job, self.occurrence, self.step)
@@ -67,13 +73,35 @@
     Unanswered,
 }
 
-/// What the advice service said about a step on a worker.
+/// What the advice service said about a step on a worker, which holds for the worker's present incarnation.
 #[derive(Clone, Debug)]
-struct Advised {
-    /// `None` if the step may not run there.
-    ticket: Option<SmolStr>,
-    /// Time until which this is used.
-    until: MonoTime,
+enum Advised {
+    Allowed {
+        ticket: SmolStr,
+        received: MonoTime,
+        /// Time until which the ticket is used.
+        until: MonoTime,
+    },
+    /// The step may not run there, which doesn't change.
+    Denied,
+}
+
+impl Advised {
+    /// Whether nothing has to be asked.
+    fn is_valid(&self, now: MonoTime) -> bool {
+        match self {
+            Self::Allowed { until, .. } => now < *until,
+            Self::Denied => true,
+        }
+    }
+
+    /// Whether its ticket may still be sent.
+    fn may_be_sent(&self, now: MonoTime) -> bool {
+        match self {
+            Self::Allowed { until, .. } => now < *until + RETENTION,
+            Self::Denied => false,
+        }
+    }
 }
 
 /// Advice for a step.
@@ -85,6 +113,8 @@
     /// Workers that the last plan which had use for them lacked advice on, and the time of that plan.
     wanted: Vec<WorkerKey>,
     wanted_at: MonoTime,
+    /// Time of the last plan in which tasks of the step waited.
+    last_waited: MonoTime,
     times: AdviceTimes,
 }
 
@@ -120,21 +150,29 @@
 impl Advice {
     /// Ticket for a step on a worker; `None` if the step may not run there.
     pub(super) fn ticket(&self, step: &StepName, worker: &WorkerKey) -> Option<SmolStr> {
-        self.steps.get(step)?.workers.get(worker)?.ticket.clone()
+        match self.steps.get(step)?.workers.get(worker)? {
+            Advised::Allowed { ticket, .. } => Some(ticket.clone()),
+            Advised::Denied => None,
+        }
     }
 
     /// Valid tickets for a step.
     pub(super) fn tickets(&self, now: MonoTime, step: &StepName) -> Map<WorkerKey, SmolStr> {
         let advised = self.steps.get(step).into_iter().flat_map(|known| &known.workers);
-        let valid = advised.filter(|(_, a)| now < a.until);
-        valid.filter_map(|(worker, a)| Some((worker.clone(), a.ticket.clone()?))).collect()
+        let valid = advised.filter(|(_, advised)| advised.is_valid(now));
+        let tickets = valid.filter_map(|(worker, advised)| match advised {
+            Advised::Allowed { ticket, .. } => Some((worker.clone(), ticket.clone())),
+            Advised::Denied => None,
+        });
+        tickets.collect()
     }
 
     /// Records that tasks of a step wait although they would fit on `workers`. Those without valid advice are asked about when
     /// it is the turn of the step.
     pub(super) fn want(&mut self, now: MonoTime, step: &StepName, workers: &[WorkerKey], times: AdviceTimes) {
         let known = self.steps.entry(step.clone()).or_default();
-        let is_unknown = |worker: &&WorkerKey| known.workers.get(*worker).is_none_or(|a| now >= a.until);
+        known.last_waited = now;
+        let is_unknown = |worker: &&WorkerKey| known.workers.get(*worker).is_none_or(|advised| !advised.is_valid(now));
         let wanted: Vec<WorkerKey> = workers.iter().filter(is_unknown).take(MAX_WORKERS_PER_REQUEST).cloned().collect();
         if wanted.is_empty() {
             return;
@@ -151,8 +189,9 @@
         if self.in_flight.is_some() || now < self.paused_until {
             return None;
         }
-        let is_needed =
-            |known: &StepAdvice| known.wanted_at == now || known.workers.values().any(|a| now < a.until + RETENTION);
+        let is_needed = |known: &StepAdvice| {
+            now < known.last_waited + RETENTION || known.workers.values().any(|advised| advised.may_be_sent(now))
+        };
         self.steps.retain(|_, known| is_needed(known));
         let waiting = self.steps.iter_mut().filter(|(_, known)| known.wanted_at == now && !known.wanted.is_empty());
         let (step, known) = waiting.min_by(|(a, x), (b, y)| (x.waits_since, a).cmp(&(y.waits_since, b)))?;
@@ -176,8 +215,11 @@
                 let until = now + Millis(valid_for.0 * USE_PERCENT / 100);
                 let mut tickets: Map<WorkerKey, SmolStr> = tickets.into_iter().collect();
                 for worker in request.workers {
-                    let ticket = tickets.remove(&worker);
-                    known.workers.insert(worker, Advised { ticket, until });
+                    let advised = match tickets.remove(&worker) {
+                        Some(ticket) => Advised::Allowed { ticket, received: now, until },
+                        None => Advised::Denied,
+                    };
+                    known.workers.insert(worker, advised);
                 }
             }
             // A call that the service handles ends by then.
@@ -197,6 +239,24 @@
         }
     }
 
+    /// Forgets what was said about a worker whose incarnation has ended, and what the request in flight will say.
+    pub(super) fn forget_worker(&mut self, worker: &WorkerKey) {
+        for known in self.steps.values_mut() {
+            known.workers.remove(worker);
+        }
+        if let Some(request) = &mut self.in_flight {
+            request.workers.retain(|asked| asked != worker);
+        }
+    }
+
+    /// Forgets a ticket that a worker has rejected. One that was received after the start was ordered is kept.
+    pub(super) fn forget_ticket(&mut self, step: &StepName, worker: &WorkerKey, ordered: MonoTime) {
+        let Some(known) = self.steps.get_mut(step) else { return };
+        if matches!(known.workers.get(worker), Some(Advised::Allowed { received, .. }) if *received <= ordered) {
+            known.workers.remove(worker);
+        }
+    }
+
     /// Forgets the steps of a job.
     pub(super) fn forget(&mut self, job: &JobKey) {
         self.steps.retain(|step, _| step.job != *job);
@@ -213,4 +273,10 @@
     pub fn apply_advice(&mut self, now: MonoTime, step: &StepName, outcome: AdviceOutcome) {
         self.advice.apply(now, step, outcome);
     }
+    /// Forgets the ticket of a start that a worker has rejected for it, so that the service is asked again.
+    pub(super) fn drop_rejected_ticket(&mut self, worker: &WorkerKey, name: &TaskName, run: u32) {
+        if let Some(ordered) = self.run(name, run).map(|run| run.last_ordered) {
+            self.advice.forget_ticket(&StepName::from(name), worker, ordered);
+        }
+    }
 }
--- a/crates/core/src/sched/answers.rs
+++ b/crates/core/src/sched/answers.rs
@@ -22,6 +22,7 @@
             // A start without an answer may still be executed by the new incarnation, which has the same id. One that was
             // answered after the poll was sent may be on it already.
             self.drop_runs(now.mono, key, |(_, run)| run.confirmed_at < sent);
+            self.advice.forget_worker(key);
         }
         let has_all_ends = lists.ended.len() < MAX_ENDS_PER_ANSWER;
         for end in lists.ended {
@@ -91,6 +92,7 @@
     fn end_worker(&mut self, now: MonoTime, key: &WorkerKey) {
         self.events.push(Event::WorkerRestarted { worker: key.clone() });
         self.drop_orphaned_runs(key);
+        self.advice.forget_worker(key);
         self.unreconciled.remove(key);
         self.check_reconciled(now);
         if let Some(worker) = self.workers.get_mut(key) {
@@ -108,13 +110,15 @@
         run: u32,
         answer: StartAnswer,
     ) -> bool {
-        if let Some(worker) = self.workers.get_mut(worker) {
-            match answer {
-                StartAnswer::NoRoom | StartAnswer::Late | StartAnswer::Unhealthy | StartAnswer::BadTicket => {
+        match answer {
+            StartAnswer::NoRoom | StartAnswer::Late | StartAnswer::Unhealthy => {
+                if let Some(worker) = self.workers.get_mut(worker) {
                     worker.record_refusal(now);
                 }
-                _ => {}
             }
+            // Without a ticket, the step does not start there again until the service has answered.
+            StartAnswer::BadTicket => self.drop_rejected_ticket(worker, name, run),
+            _ => {}
         }
         let is_queued_job = self.jobs.get(&name.job).is_some_and(|j| j.state == JobState::Queued);
         let Some(found) = self.run_mut(name, run) else {
--- a/crates/core/src/sched/plan.rs
+++ b/crates/core/src/sched/plan.rs
@@ -403,9 +403,8 @@
 
     /// Ticket for a run; `None` on queues that need no advice.
     fn ticket_of(&self, name: &TaskName, number: u32) -> Option<smol_str::SmolStr> {
-        let step = StepName { job: name.job.clone(), occurrence: name.occurrence, step: name.step };
         let run = self.jobs.get(&name.job)?.task(name)?.runs.iter().find(|r| r.number == number)?;
-        self.advice.ticket(&step, &run.worker)
+        self.advice.ticket(&StepName::from(name), &run.worker)
     }
 
     /// Orders the start of a run, the first time or again.
--- a/crates/core/tests/sched/advice.rs
+++ b/crates/core/tests/sched/advice.rs
@@ -1,13 +1,15 @@
-//! Requests to an advice service that is slow, turns calls away, or finishes calls that its caller has abandoned.
+//! Requests to an advice service that is slow, turns calls away, or finishes calls that its caller has abandoned, and
+//! tickets that workers reject.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
 
 use carawaybarrow_core::sched::advice::{AdviceOutcome, StepName};
 use carawaybarrow_core::sched::graph::WorkerKey;
-use carawaybarrow_core::sched::order::Order;
+use carawaybarrow_core::sched::order::{Order, Start, StartAnswer};
 use carawaybarrow_core::sched::policy::AdviceTimes;
 use carawaybarrow_core::units::{Millis, MonoTime};
+use smol_str::{SmolStr, format_smolstr};
 
 use super::model::{Model, job, policy, step};
 
@@ -16,6 +18,9 @@
 
 const WORKERS: usize = 3;
 
+/// Job of a queue without advice.
+const UNADVISED_JOB: &str = "other";
+
 #[derive(Debug)]
 struct Call {
     step: StepName,
@@ -39,10 +44,16 @@
     finishes_abandoned: bool,
     /// Workers on which every step may run.
     allowed: Vec<WorkerKey>,
+    valid_for: Millis,
+    /// Changes when the tickets become invalid that were given before.
+    epoch: u32,
     refused: usize,
     abandoned: usize,
-    answered: usize,
+    /// Workers of each call that was answered.
+    answered: Vec<Vec<WorkerKey>>,
     most_in_flight: usize,
+    /// Starts that workers rejected for their ticket.
+    rejected: usize,
 }
 
 impl Service {
@@ -54,13 +65,25 @@
             capacity: 32,
             finishes_abandoned: true,
             allowed: (0..WORKERS).map(|n| WorkerKey::new(format!("w{n}"))).collect(),
+            valid_for: Millis(30_000),
+            epoch: 0,
             refused: 0,
             abandoned: 0,
-            answered: 0,
+            answered: Vec::new(),
             most_in_flight: 0,
+            rejected: 0,
         }
     }
 
+    /// Ticket that is valid now, in the present incarnation of a worker.
+    fn ticket(&self, model: &Model, worker: &WorkerKey) -> SmolStr {
+        format_smolstr!("{}.{}", self.epoch, model.workers[worker].incarnation)
+    }
+
+    fn permits(&self, model: &Model, start: &Start) -> bool {
+        start.task.job.as_str() == UNADVISED_JOB || start.ticket == Some(self.ticket(model, &start.worker))
+    }
+
     fn begin_first(&mut self, now: u64) {
         self.answered_at =
             self.calls.front().map_or(u64::MAX, |c| now + TIMES.answer_time(c.workers.len()).0 * self.slowness);
@@ -83,10 +106,10 @@
             && let Some(call) = self.calls.pop_front()
         {
             if !call.is_abandoned {
-                self.answered += 1;
-                let tickets = call.workers.into_iter().filter(|w| self.allowed.contains(w));
-                let tickets = tickets.map(|w| (w, "ticket".into())).collect();
-                let outcome = AdviceOutcome::Allowed { tickets, valid_for: Millis(30_000) };
+                let allowed = call.workers.iter().filter(|w| self.allowed.contains(w));
+                let tickets = allowed.map(|w| (w.clone(), self.ticket(model, w))).collect();
+                self.answered.push(call.workers);
+                let outcome = AdviceOutcome::Allowed { tickets, valid_for: self.valid_for };
                 model.scheduler.apply_advice(MonoTime(model.now), &call.step, outcome);
             }
             self.begin_first(model.now);
@@ -117,6 +140,11 @@
                     Order::RequestAdvice { step, workers, time_limit } => {
                         self.receive(model, step, workers, time_limit);
                     }
+                    Order::Start(start) if !self.permits(model, &start) => {
+                        self.rejected += 1;
+                        let (now, answer) = (MonoTime(model.now), StartAnswer::BadTicket);
+                        model.scheduler.apply_start_answer(now, &start.worker, &start.task, start.run, answer);
+                    }
                     order => model.execute_order(order),
                 }
             }
@@ -128,7 +156,11 @@
 }
 
 fn advised_model() -> Model {
-    let mut model = Model::new(WORKERS);
+    advised_model_of(WORKERS)
+}
+
+fn advised_model_of(workers: usize) -> Model {
+    let mut model = Model::new(workers);
     let mut policy = policy();
     policy.version = 2;
     for queue in policy.queues.values_mut() {
@@ -153,7 +185,7 @@
         accept_burst(&mut model, 12);
         service.run_for(&mut model, Millis(12 * 860 + 2_000));
         assert_eq!(model.done.len(), 12);
-        assert_eq!((service.answered, service.abandoned, service.refused), (12, 0, 0));
+        assert_eq!((service.answered.len(), service.abandoned, service.refused), (12, 0, 0));
         assert_eq!(service.most_in_flight, 1, "a request is repeated or overtaken while one is in flight");
     }
 }
@@ -203,7 +235,7 @@
     service.run_for(&mut model, Millis(1_000));
     let mut other = job(vec![step(1, 1_000)]);
     other.queue = name;
-    model.accept("other", other);
+    model.accept(UNADVISED_JOB, other);
     service.run_for(&mut model, Millis(1_000));
     assert_eq!(model.done.len(), 1);
 }
@@ -218,5 +250,81 @@
     model.accept("j", job(vec![step(8, 1_000)]));
     service.run_for(&mut model, Millis(15_000));
     assert_eq!(model.done.len(), 8);
-    assert_eq!(service.answered, 1);
+    assert_eq!(service.answered.len(), 1);
+}
+
+/// Guards against starts with tickets of a worker's earlier incarnation, which the worker rejects until the validity of the
+/// tickets has ended.
+#[test]
+fn restarted_worker_is_asked_about_alone() {
+    let worker = WorkerKey::new("w1");
+    let (mut model, mut service) = (advised_model(), Service { allowed: vec![worker.clone()], ..Service::new() });
+    model.work_ms = u64::MAX;
+    service.run_for(&mut model, Millis(1_000));
+    model.accept("j", job(vec![step(1, 1_000)]));
+    service.run_for(&mut model, Millis(2_000));
+    assert_eq!(model.count_running(), 1);
+    model.worker_mut(1).restart();
+    let answer_time = TIMES.answer_time(1);
+    service.run_for(&mut model, answer_time + Millis(500));
+    assert_eq!(model.count_running(), 1, "{service:?}");
+    assert_eq!(service.answered[1..], [vec![worker]]);
+    assert_eq!(service.rejected, 0);
+}
+
+/// Guards against an answer to a call from before the restart of a worker, which may give a ticket of its earlier
+/// incarnation.
+#[test]
+fn answer_from_before_a_restart_is_not_used() {
+    let worker = WorkerKey::new("w1");
+    let (mut model, mut service) = (advised_model(), Service { allowed: vec![worker.clone()], ..Service::new() });
+    service.run_for(&mut model, Millis(1_000));
+    model.accept("j", job(vec![step(1, 1_000)]));
+    service.run_for(&mut model, Millis(300));
+    // The service gives a ticket of the incarnation at the time of its answer, so the restart comes just after it.
+    let before = service.ticket(&model, &worker);
+    model.worker_mut(1).restart();
+    model.poll_all();
+    let step = service.calls.front().expect("a call is in flight").step.clone();
+    let tickets = vec![(worker.clone(), before)];
+    let outcome = AdviceOutcome::Allowed { tickets, valid_for: service.valid_for };
+    model.scheduler.apply_advice(MonoTime(model.now), &step, outcome);
+    service.calls.clear();
+    service.run_for(&mut model, TIMES.answer_time(1) + Millis(1_000));
+    assert_eq!(service.rejected, 0);
+    assert_eq!(model.done.len(), 1, "{service:?}");
+    assert_eq!(service.answered, [vec![worker]]);
+}
+
+/// Guards against a ticket that is sent again and again although a worker has rejected it.
+#[test]
+fn rejected_ticket_is_replaced() {
+    let worker = WorkerKey::new("w1");
+    let (mut model, mut service) = (advised_model(), Service { allowed: vec![worker.clone()], ..Service::new() });
+    model.work_ms = 2_000;
+    service.run_for(&mut model, Millis(1_000));
+    // One worker has room for four of the tasks at a time.
+    model.accept("j", job(vec![step(8, 1_000)]));
+    service.run_for(&mut model, Millis(2_000));
+    assert_eq!(model.count_running(), 4);
+    service.epoch += 1;
+    service.run_for(&mut model, Millis(2 * 2_000) + TIMES.answer_time(1) + Millis(500));
+    assert_eq!(model.done.len(), 8, "{service:?}");
+    assert_eq!(service.answered[1..], [vec![worker]]);
+    assert!(service.rejected <= 4, "{} starts were rejected", service.rejected);
+}
+
+/// Guards against a step that may run only on workers which no call names, because the advice on the first ones lapses
+/// before it is the turn of the others.
+#[test]
+fn step_that_may_run_on_the_last_of_many_workers_starts() {
+    let workers = 250;
+    let mut model = advised_model_of(workers);
+    let last = model.workers.keys().next_back().expect("there are workers").clone();
+    // A call about 100 workers takes 2.8 s.
+    let mut service = Service { allowed: vec![last], valid_for: Millis(3_000), ..Service::new() };
+    service.run_for(&mut model, Millis(1_000));
+    model.accept("j", job(vec![step(1, 1_000)]));
+    service.run_for(&mut model, Millis(2 * 2_800 + 1_800 + 1_000));
+    assert_eq!(model.done.len(), 1, "{:?}", service.answered.iter().map(Vec::len).collect::<Vec<_>>());
 }
