Close idle connections to addresses that are not called any more

Cause: an idle connection was dropped only when its address was called again, and nobody calls the address of a worker that has left.

Change: each 10 s the client closes all connections that have been idle for 30 s, whatever their address, when it keeps another one. So a connection is closed at most 40 s after its last use, as long as the client makes calls.

Evidence: `idle_connections_to_servers_that_have_left_are_closed` fails without the check (20 connections stay open) and passes with it. The descriptors of a process with replaced workers were not measured.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,7 +1,7 @@
 //! HTTP client with persistent connections. Its errors tell whether a failed request may have reached the server.
 
 use std::net::{Shutdown, SocketAddr};
-use std::sync::Mutex;
+use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use async_std::future;
@@ -18,6 +18,10 @@
 /// connections.
 const MAX_IDLE: Duration = Duration::from_secs(30);
 
+/// Part of the maximum idle time after which idle connections to all addresses are checked, so that those to an address
+/// that is not called any more are closed within four thirds of it.
+const CHECKS_PER_MAX_IDLE: u32 = 3;
+
 /// Maximum number of idle connections that are kept to one address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
 
@@ -149,18 +153,45 @@
     since: Instant,
 }
 
+#[derive(Debug)]
+struct IdleConnections {
+    by_address: Map<SocketAddr, Vec<IdleConnection>>,
+    checked_at: Instant,
+}
+
+impl IdleConnections {
+    /// Closes the connections that are too old to be reused, whatever their address.
+    fn close_unused(&mut self, max_idle: Duration) {
+        self.checked_at = Instant::now();
+        self.by_address.retain(|_, kept| {
+            kept.retain(|connection| connection.since.elapsed() < max_idle);
+            !kept.is_empty()
+        });
+    }
+}
+
 /// HTTP client that keeps connections open between requests.
 #[derive(Debug)]
 pub struct Client {
     name: SmolStr,
-    idle: Mutex<Map<SocketAddr, Vec<IdleConnection>>>,
+    max_idle: Duration,
+    idle: Mutex<IdleConnections>,
 }
 
 impl Client {
     /// Creates a client that sends `name` in the header `x-client`.
     #[must_use]
     pub fn new(name: impl Into<SmolStr>) -> Self {
-        Self { name: name.into(), idle: Mutex::default() }
+        let idle = IdleConnections { by_address: Map::default(), checked_at: Instant::now() };
+        Self { name: name.into(), max_idle: MAX_IDLE, idle: Mutex::new(idle) }
+    }
+
+    /// Sets the idle time after which a connection is not reused. It must be shorter than that of the servers, which is
+    /// 60 s by default.
+    #[must_use]
+    pub const fn with_max_idle(mut self, max_idle: Duration) -> Self {
+        self.max_idle = max_idle;
+        self
     }
 
     /// Sends a request and reads the complete response.
@@ -184,7 +215,7 @@
             // closed.
             drop(stream.shutdown(Shutdown::Both));
             // The idle connections to this address may be dead as well, so the next request opens a new one.
-            self.idle.lock().expect("no thread panics while holding the lock").remove(&address);
+            self.idle().by_address.remove(&address);
             return TimeoutSnafu { address, timeout }.fail();
         };
         let (reply, reusable) = response?;
@@ -194,11 +225,15 @@
         Ok(reply)
     }
 
+    fn idle(&self) -> MutexGuard<'_, IdleConnections> {
+        self.idle.lock().expect("no thread panics while holding the lock")
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<TcpStream> {
-        let mut idle = self.idle.lock().expect("no thread panics while holding the lock");
-        let kept = idle.get_mut(&address)?;
+        let mut idle = self.idle();
+        let kept = idle.by_address.get_mut(&address)?;
         while let Some(IdleConnection { stream, since }) = kept.pop() {
-            if since.elapsed() < MAX_IDLE && is_open(&stream) {
+            if since.elapsed() < self.max_idle && is_open(&stream) {
                 return Some(stream);
             }
         }
@@ -206,11 +241,14 @@
     }
 
     fn keep_idle(&self, address: SocketAddr, stream: TcpStream) {
-        let mut idle = self.idle.lock().expect("no thread panics while holding the lock");
-        let kept = idle.entry(address).or_default();
+        let mut idle = self.idle();
+        let kept = idle.by_address.entry(address).or_default();
         if kept.len() < MAX_IDLE_PER_ADDRESS {
             kept.push(IdleConnection { stream, since: Instant::now() });
         }
+        if idle.checked_at.elapsed() >= self.max_idle / CHECKS_PER_MAX_IDLE {
+            idle.close_unused(self.max_idle);
+        }
     }
 }
 
--- a/crates/net/tests/client.rs
+++ b/crates/net/tests/client.rs
@@ -4,10 +4,11 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::mpsc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::task;
 use carawaybarrow_net::client::{Call, CallError, Client, Reply};
+use carawaybarrow_net::server::{self, Handle, Limits};
 use http_types::Method;
 
 const TIMEOUT: Duration = Duration::from_secs(5);
@@ -132,3 +133,30 @@
         (0..4).map(|_| call(&client, address, &Call::new(Method::Get, "/")).expect("a response").body).collect();
     assert_eq!(bodies, [b"a", b"b", b"c", b"a"]);
 }
+
+/// Guards against descriptors of connections to servers that have left, which were kept until their address was called again.
+#[test]
+fn idle_connections_to_servers_that_have_left_are_closed() {
+    let max_idle = Duration::from_millis(600);
+    let client = Client::new("c").with_max_idle(max_idle);
+    let (start, get) =
+        (|| server::listen(([127, 0, 0, 1], 0).into(), tide::new(), Limits::new(1_000)), Call::new(Method::Get, "/"));
+    task::block_on(async {
+        let present = start().await.expect("a free port");
+        let mut left = Vec::new();
+        for _ in 0..20 {
+            let server = start().await.expect("a free port");
+            client.call(server.address(), &get, TIMEOUT).await.expect("a response");
+            left.push(server);
+        }
+        // A margin of 1 s for a busy machine; the servers close idle connections after 60 s.
+        let deadline = Instant::now() + max_idle * 4 / 3 + Duration::from_secs(1);
+        let count_open = || left.iter().map(Handle::connections).sum::<usize>();
+        while count_open() > 0 {
+            assert!(Instant::now() < deadline, "{} connections are open", count_open());
+            client.call(present.address(), &get, TIMEOUT).await.expect("a response");
+            task::sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(present.connections(), 1);
+    });
+}
