--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -3,4 +3,4 @@
 # disruption out. Build before with the command of the deploy file and review/build-3.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/carawaybarrow ] && [ -x target/review-3/review-3 ] || { echo "build first" >&2; exit 2; }
-target/review-3/review-3 many-occurrences review/15/record.txt
+target/review-3/review-3 late-creation review/15/record.txt
--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -333,47 +333,6 @@
     verdict(&rig, &broken)
 }
 
-/// A job with many occurrences: its stored progress outgrows a value of the store.
-pub fn many_occurrences(record: &Path) -> bool {
-    let rig = Rig::start(record, false, false);
-    (1..=4).for_each(|i| drop(rig.add_worker("render", &format!("m-{i}"), 64_000)));
-    rig.configure(1, &[route("render", "render", None)], &[service("render", false)]);
-    rig.start_node(1, false, false);
-    rig.await_ready(1);
-    rig.call(1, "POST", "/render/0000000000000001", &job(4, 1_000, 300));
-    if await_start(&rig, "0000000000000001.0.0.0", 15).is_none() {
-        cannot_run("no task starts");
-    }
-    let times = if has_trouble() { 40_000 } else { 2_000 };
-    let path = "/render/00000000000000aa";
-    let step = "{\"count\":1,\"cpu\":200,\"mem-mb\":16,\"estimate-ms\":5}";
-    let body = format!(
-        "{{\"spec\":\"5\",\"steps\":[{}],\"start-at-ms\":{},\"interval-ms\":20,\"repeat-count\":{}}}",
-        vec![step; 10].join(","),
-        crate::worker::unix_ms() - 1_000,
-        times / 10
-    );
-    rig.call(1, "POST", path, &body);
-    let mut last = 0;
-    let mut jobs = Vec::new();
-    for i in 0..75u64 {
-        pause(1_000);
-        jobs.push(format!("{:016x}", 0x1000 + i));
-        rig.call(1, "POST", &format!("/render/{:016x}", 0x1000 + i), &job(2, 1_000, 200));
-        let runs = rig.record.runs().len();
-        let refused = rig.store.refused_values.lock().unwrap().len();
-        rig.record.note(&format!(
-            "{} runs so far, {} in the last second; {refused} values refused as too large",
-            runs,
-            runs - last
-        ));
-        last = runs;
-    }
-    let broken = starved(&rig, "render", 1, "render", &jobs);
-    rig.state(1, path);
-    verdict(&rig, &broken)
-}
-
 /// A worker with a member of a gang crashes; the gang goes on from a checkpoint.
 pub fn gang(record: &Path) -> bool {
     let rig = Rig::start(record, false, false);
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -27,7 +27,6 @@
         "unanswered-moves" => cases::unanswered_moves(record),
         "late-creation" => cases::late_creation(record),
         "gang" => cases::gang(record),
-        "many-occurrences" => cases::many_occurrences(record),
         _ => rig::cannot_run("no such case"),
     }
 }
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -34,8 +34,6 @@
     changed: Condvar,
     loss: Mutex<Option<LossRule>>,
     value_bytes: usize,
-    /// Writes refused because a value is larger than `value-bytes`: key and size.
-    pub refused_values: Mutex<Vec<(Instant, String, usize)>>,
 }
 
 const PAGE_ITEMS: usize = 500;
@@ -47,7 +45,6 @@
             changed: Condvar::new(),
             loss: Mutex::new(None),
             value_bytes,
-            refused_values: Mutex::default(),
         });
         let (serving, expiring) = (Arc::clone(&store), Arc::clone(&store));
         let server = Server::start(address, Arc::new(move |req| serving.answer(req)));
@@ -207,7 +204,6 @@
         for put in puts {
             let size = put.get("value").text().len() / 4 * 3;
             if size > self.value_bytes {
-                self.refused_values.lock().unwrap().push((Instant::now(), put.get("key").text().to_owned(), size));
                 return reply(400, &Json::Null);
             }
         }
