Settle starts without an answer that are refused when repeated

Cause: a start without an answer may still be executed, so its run was kept and repeated, and a refusal of the repetition kept it again. Nothing else ended the run while the worker answered polls, and advice is requested only for steps with waiting tasks. A lapsed ticket, `room`, `late` and 400 led to the same state.

Change: a repeated start that is refused for one of these is followed by a stop, as is one without a ticket, on a worker that has come back as another kind, or without an answer for 10 s. A worker that has accepted a stop starts no run up to that number, and it rejects a start whose deadline its clock has passed, so a list without the run then shows that it is not there. Removing the run at the refusal would let the first order start a second run. Runs that are not settled for 3 s are logged once, counted, and listed at `/unsettled-runs`.

Nothing is added to calls for advice but one for the waiting task.

--- a/crates/carawaybarrow/src/node/metrics.rs
+++ b/crates/carawaybarrow/src/node/metrics.rs
@@ -24,6 +24,7 @@
     runs: Counter<u64>,
     evacuations: Counter<u64>,
     reservations: Counter<u64>,
+    unsettled_runs: Counter<u64>,
     closed_connections: Counter<u64>,
     term: Gauge<u64>,
     version: Gauge<u64>,
@@ -60,6 +61,12 @@
                 .u64_counter("carawaybarrow_reservations")
                 .with_description("Steps for which room began to be kept, or is kept no more")
                 .build(),
+            unsettled_runs: meter
+                .u64_counter("carawaybarrow_unsettled_runs")
+                .with_description(
+                    "Runs whose start or stop had no known outcome for 3 s, by the order that is repeated",
+                )
+                .build(),
             closed_connections: meter
                 .u64_counter("carawaybarrow_connections_closed")
                 .with_description("Connections of callers that were closed or refused, by reason")
@@ -112,6 +119,11 @@
         self.reservations.add(1, &[KeyValue::new("change", change)]);
     }
 
+    /// Counts a run whose start or stop has had no known outcome for long.
+    pub fn count_unsettled_run(&self, order: &'static str) {
+        self.unsettled_runs.add(1, &[KeyValue::new("order", order)]);
+    }
+
     /// Counts connections of callers that were closed or refused.
     pub fn count_closed_connections(&self, reason: &'static str, count: u64) {
         self.closed_connections.add(count, &[KeyValue::new("reason", reason)]);
--- a/crates/carawaybarrow/src/node/run.rs
+++ b/crates/carawaybarrow/src/node/run.rs
@@ -5,9 +5,10 @@
 
 use async_std::task;
 use carawaybarrow_core::byte_budget::ByteBudget;
+use carawaybarrow_core::sched::scheduler::Scheduler;
 use carawaybarrow_platform::callers::READINESS_PATH;
 use carawaybarrow_platform::settings::Settings;
-use serde_json::json;
+use serde_json::{Value, json};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use snafu::Snafu;
 use tide::{Response, StatusCode};
@@ -20,7 +21,7 @@
 use crate::node::key_writes::{self, StoreKeyWriter};
 use crate::node::metrics::NodeMetrics;
 use crate::node::peers::{self, SchedulerClient};
-use crate::node::view::View;
+use crate::node::view::{self, View};
 use crate::node::{election, members};
 use crate::serve;
 
@@ -30,6 +31,9 @@
 /// Path of the list of evacuations, on the address of the metrics.
 const EVACUATIONS_PATH: &str = "/evacuations";
 
+/// Path of the list of runs whose start or stop is not settled, on the address of the metrics.
+const UNSETTLED_RUNS_PATH: &str = "/unsettled-runs";
+
 /// Maximum size of a request body from other entries. The largest bodies hold the record of a job.
 const PEER_BODY_BYTES: u64 = 1 << 20;
 
@@ -95,6 +99,11 @@
         let response = list_evacuations(&evacuations_view);
         async move { Ok(response) }
     });
+    let unsettled_view = Arc::clone(&view);
+    metrics_app.at(UNSETTLED_RUNS_PATH).get(move |_| {
+        let response = list_unsettled_runs(&unsettled_view);
+        async move { Ok(response) }
+    });
     let metrics_server = http_server::listen(settings.metrics, metrics_app, Limits::new(0)).await?;
 
     let mut caller_app = tide::with_state(CallerApi {
@@ -164,10 +173,20 @@
     Ok(Response::builder(StatusCode::Ok).content_type("text/plain; version=0.0.4").body(req.state().render()).build())
 }
 
-/// Evacuated data centres and what still runs there. An entry that does not schedule names the one that does.
+/// Evacuated data centres and what still runs there.
 fn list_evacuations(view: &View) -> Response {
+    answer_as_scheduler(view, |s| json!({ "evacuations": s.evacuations() }))
+}
+
+/// Runs whose start or stop is not settled.
+fn list_unsettled_runs(view: &View) -> Response {
+    answer_as_scheduler(view, |s| json!({ "unsettled_runs": s.unsettled_runs(view::now().mono) }))
+}
+
+/// Answers from the scheduler's state. An entry that does not schedule names the one that does.
+fn answer_as_scheduler(view: &View, read: impl FnOnce(&Scheduler) -> Value) -> Response {
     let (status, body) = match view.term().filter(|t| t.is_loaded()) {
-        Some(term) => (StatusCode::Ok, json!({ "evacuations": term.with(|s| s.evacuations()) })),
+        Some(term) => (StatusCode::Ok, term.with(|s| read(s))),
         None => (StatusCode::ServiceUnavailable, json!({ "scheduler": view.scheduler().map(|o| o.entry) })),
     };
     Response::builder(status).content_type("application/json").body(body.to_string()).build()
--- a/crates/carawaybarrow/src/node/term_orders.rs
+++ b/crates/carawaybarrow/src/node/term_orders.rs
@@ -249,6 +249,14 @@
             log::warn!(data_centre:% = data_centre; "evacuation begun; its workers get no new tasks");
         }
         Event::EvacuationEnded { data_centre } => log::warn!(data_centre:% = data_centre; "evacuation ended"),
+        Event::RunUnsettled(run) => {
+            term.view.metrics.count_unsettled_run(run.order);
+            log::warn!(
+                task:% = run.task, run = run.run, worker:% = run.worker, order = run.order, since_ms = run.since_ms,
+                last_answer:? = run.last_answer;
+                "the outcome of an order has been unknown for long"
+            );
+        }
         Event::JobEnded { job, state } => log::info!(job:% = job, state:? = state; "job ended"),
         Event::RunAdopted { task, run, worker } => {
             log::info!(task:% = task, run = run, worker:% = worker; "run of an earlier term adopted");
--- a/crates/core/src/sched/answers.rs
+++ b/crates/core/src/sched/answers.rs
@@ -39,7 +39,8 @@
         // them.
         if has_all_ends {
             self.drop_runs(now.mono, key, |(name, run)| {
-                run.confirmed_at < sent && !listed.contains(&(name.clone(), run.number))
+                (run.confirmed_at < sent || run.is_past_starts(lists.clock))
+                    && !listed.contains(&(name.clone(), run.number))
             });
         }
         let mut is_first_answer = false;
@@ -125,7 +126,9 @@
             return answer == StartAnswer::Fenced;
         };
         found.in_flight = false;
+        found.last_answer = Some(answer);
         let ordered = found.last_ordered;
+        let is_first_order = found.last_ordered == found.first_ordered;
         match answer {
             StartAnswer::Started => {
                 if found.phase == Phase::Starting {
@@ -151,11 +154,15 @@
             | StartAnswer::BadTicket
             | StartAnswer::Unhealthy
             | StartAnswer::Malformed
-            | StartAnswer::NotSent => {
-                if found.phase == Phase::Starting && found.last_ordered == found.first_ordered {
+            | StartAnswer::NotSent => match found.phase {
+                Phase::Starting if is_first_order => {
                     self.remove_run(name, run);
                 }
-            }
+                Phase::Starting if answer.is_lasting_refusal() => {
+                    self.order_stop(now, name, run, "a repeated start was refused");
+                }
+                _ => {}
+            },
             StartAnswer::OtherInstance => self.drop_ended_worker(now, worker, ordered),
             StartAnswer::Fenced => return true,
         }
--- a/crates/core/src/sched/checks.rs
+++ b/crates/core/src/sched/checks.rs
@@ -75,11 +75,7 @@
             }
         }
         for (name, number, worker) in stalled {
-            if let Some(task) = self.jobs.get_mut(&name.job).and_then(|j| j.task_mut(&name))
-                && !task.avoided_workers.contains(&worker)
-            {
-                task.avoided_workers.push(worker.clone());
-            }
+            self.avoid_worker(&name, &worker);
             if let Some(worker) = self.workers.get_mut(&worker) {
                 worker.record_failure(now);
             }
--- a/crates/core/src/sched/event.rs
+++ b/crates/core/src/sched/event.rs
@@ -6,6 +6,7 @@
 use crate::sched::graph::{JobKey, TaskName, WorkerKey};
 use crate::sched::order::EndKind;
 use crate::sched::progress::JobState;
+use crate::sched::unsettled::UnsettledRun;
 use crate::units::Millis;
 
 /// A change in the scheduler's state, for the log.
@@ -32,6 +33,8 @@
         /// How the run ended.
         kind: EndKind,
     },
+    /// It has been unknown for long whether a run was started or stopped.
+    RunUnsettled(UnsettledRun),
     /// A job reached a final state.
     JobEnded {
         /// Job.
--- a/crates/core/src/sched/job.rs
+++ b/crates/core/src/sched/job.rs
@@ -3,6 +3,7 @@
 use smol_str::SmolStr;
 
 use crate::sched::graph::{JobKey, JobSpec, Resources, TaskName, WorkerKey};
+use crate::sched::order::StartAnswer;
 use crate::sched::policy::QueuePolicy;
 use crate::sched::progress::{DoneTasks, FailedRuns, JobState, Progress};
 use crate::units::{Millis, MonoTime, WallTime};
@@ -37,6 +38,14 @@
     pub last_ordered: MonoTime,
     /// Whether an order about it is in flight.
     pub in_flight: bool,
+    /// Time since which the outcome of its start, or later of its stop, is unknown.
+    pub unsettled_since: MonoTime,
+    /// Latest end of the lease that a start of it carried, in ms on the worker's clock; 0 if this term has not started it.
+    pub start_deadline: u64,
+    /// Last answer to a start of it.
+    pub last_answer: Option<StartAnswer>,
+    /// Whether operators were told that its outcome has been unknown for long.
+    pub is_reported: bool,
     /// Progress in percent.
     pub percent: u64,
     /// Time at which its progress last rose.
--- a/crates/core/src/sched/order.rs
+++ b/crates/core/src/sched/order.rs
@@ -100,6 +100,12 @@
 }
 
 impl StartAnswer {
+    /// Whether the worker did nothing, and may refuse each repetition for the same reason.
+    #[must_use]
+    pub const fn is_lasting_refusal(self) -> bool {
+        matches!(self, Self::NoRoom | Self::Late | Self::BadTicket | Self::Malformed)
+    }
+
     /// Value for logs and metrics.
     #[must_use]
     pub const fn label(self) -> &'static str {
--- a/crates/core/src/sched/plan.rs
+++ b/crates/core/src/sched/plan.rs
@@ -392,6 +392,10 @@
             confirmed_at: MonoTime(u64::MAX),
             last_ordered: now,
             in_flight: false,
+            unsettled_since: now,
+            start_deadline: 0,
+            last_answer: None,
+            is_reported: false,
             percent: 0,
             last_progress: now,
             pace: 100,
@@ -402,7 +406,7 @@
     }
 
     /// Ticket for a run; `None` on queues that need no advice.
-    fn ticket_of(&self, name: &TaskName, number: u32) -> Option<smol_str::SmolStr> {
+    pub(super) fn ticket_of(&self, name: &TaskName, number: u32) -> Option<smol_str::SmolStr> {
         let run = self.jobs.get(&name.job)?.task(name)?.runs.iter().find(|r| r.number == number)?;
         self.advice.ticket(&StepName::from(name), &run.worker)
     }
@@ -420,6 +424,7 @@
         };
         run.last_ordered = now;
         run.in_flight = true;
+        run.start_deadline = run.start_deadline.max(lease_until);
         let start = Start {
             worker: run.worker.clone(),
             task: name.clone(),
--- a/crates/core/src/sched/runs.rs
+++ b/crates/core/src/sched/runs.rs
@@ -6,6 +6,7 @@
 use crate::sched::order::{EndKind, EndRow, Order, RunRow};
 use crate::sched::progress::JobState;
 use crate::sched::scheduler::{START_RETRY, Scheduler};
+use crate::sched::unsettled::START_LIMIT;
 use crate::units::{Millis, MonoTime};
 
 /// Time after which a stop without an answer is ordered again while the worker is not known to have the run. For any
@@ -135,14 +136,22 @@
         let max_attempts = self.policy.rules_of(&job.spec).max_attempts.max(1) as usize;
         let Some(task) = self.jobs.get_mut(&name.job).and_then(|j| j.task_mut(name)) else { return };
         task.failed_runs.push(number);
-        if !task.avoided_workers.contains(worker) {
-            task.avoided_workers.push(worker.clone());
-        }
-        if task.failed_runs.len() >= max_attempts {
+        let is_used_up = task.failed_runs.len() >= max_attempts;
+        self.avoid_worker(name, worker);
+        if is_used_up {
             self.end_job(&name.job, JobState::Failed);
         }
     }
 
+    /// Lets a task start on another worker, if there is one with room.
+    pub(super) fn avoid_worker(&mut self, name: &TaskName, worker: &WorkerKey) {
+        if let Some(task) = self.jobs.get_mut(&name.job).and_then(|j| j.task_mut(name))
+            && !task.avoided_workers.contains(worker)
+        {
+            task.avoided_workers.push(worker.clone());
+        }
+    }
+
     /// Applies a run that a worker lists. Returns `false` if its job is unknown, or has no such task.
     pub(super) fn apply_run_row(&mut self, now: MonoTime, worker: &WorkerKey, row: RunRow) -> bool {
         if let Some(job) = self.jobs.get_mut(&row.task.job) {
@@ -198,6 +207,10 @@
             confirmed_at: now,
             last_ordered: now,
             in_flight: false,
+            unsettled_since: now,
+            start_deadline: 0,
+            last_answer: None,
+            is_reported: false,
             percent: row.percent,
             last_progress: now,
             pace: 100,
@@ -264,6 +277,9 @@
         let Some(task) = self.jobs.get_mut(&name.job).and_then(|j| j.task_mut(name)) else { return };
         let Some(run) = task.runs.iter_mut().find(|r| r.number == number) else { return };
         if run.phase != Phase::Stopping {
+            if run.phase == Phase::Running {
+                run.unsettled_since = now;
+            }
             run.phase = Phase::Stopping;
             // A start may still be in flight, so a list without the run proves nothing until the stop is answered.
             if !run.is_confirmed() || run.in_flight {
@@ -302,31 +318,33 @@
 
     fn repeat_orders(&mut self, now: MonoTime, worker: &WorkerKey) {
         let Some(known) = self.workers.get(worker) else { return };
-        let must_get_no_starts = known.must_get_no_starts();
-        let may_discard_stale = known.may_discard_stale(now);
         let may_start =
             self.is_confirmed(now) && self.may_order_starts(now, known) && !known.may_discard_unread_ends(now);
         let names: Vec<(TaskName, u32)> = known.runs.iter().map(|(name, run)| (name.clone(), *run)).collect();
         for (name, number) in names {
+            self.report_unsettled(now, &name, number);
             let run = self.run(&name, number);
             let Some(run) = run else { continue };
             if run.in_flight {
                 continue;
             }
+            let since_order = now.since(run.last_ordered);
             match run.phase {
-                Phase::Starting if must_get_no_starts => {
-                    self.order_stop(now, &name, number, "start not confirmed before the worker is emptied");
-                }
-                Phase::Starting if may_discard_stale => {
-                    self.order_stop(now, &name, number, "start not confirmed before the worker restarted");
-                }
-                Phase::Starting if may_start && now.since(run.last_ordered) >= START_RETRY => {
-                    self.order_start(now, &name, number)
-                }
-                Phase::Stopping if now.since(run.last_ordered) >= STOP_RETRY + self.bounds.stop_limit => {
+                Phase::Starting => match self.reason_to_give_up(now, &name, run) {
+                    Some(reason) => {
+                        let is_overdue = now.since(run.first_ordered) >= START_LIMIT;
+                        self.order_stop(now, &name, number, reason);
+                        if is_overdue {
+                            self.avoid_worker(&name, worker);
+                        }
+                    }
+                    None if may_start && since_order >= START_RETRY => self.order_start(now, &name, number),
+                    None => {}
+                },
+                Phase::Stopping if since_order >= STOP_RETRY + self.bounds.stop_limit => {
                     self.order_stop(now, &name, number, "no end after a stop");
                 }
-                Phase::Stopping if !run.is_confirmed() && now.since(run.last_ordered) >= STOP_RETRY => {
+                Phase::Stopping if !run.is_confirmed() && since_order >= STOP_RETRY => {
                     self.order_stop(now, &name, number, "no answer to a stop");
                 }
                 _ => {}
--- a/crates/core/tests/sched/advice.rs
+++ b/crates/core/tests/sched/advice.rs
@@ -328,3 +328,27 @@
     service.run_for(&mut model, Millis(2 * 2_800 + 1_800 + 1_000));
     assert_eq!(model.done.len(), 1, "{:?}", service.answered.iter().map(Vec::len).collect::<Vec<_>>());
 }
+
+/// Guards against a start that is repeated for ever without a ticket: its first order got no answer, and the ticket ended with
+/// the incarnation of the worker. Seen in review/12.
+#[test]
+fn start_in_flight_at_a_crash_is_given_up_without_a_ticket() {
+    for allowed in [vec!["w1"], vec!["w0", "w1", "w2"]] {
+        let allowed: Vec<WorkerKey> = allowed.into_iter().map(WorkerKey::new).collect();
+        let (mut model, mut service) = (advised_model(), Service { allowed, ..Service::new() });
+        service.run_for(&mut model, Millis(1_000));
+        model.accept("j", job(vec![step(1, 1_000)]));
+        // All workers fall silent shortly before the answer of the service, which takes 860 ms.
+        service.run_for(&mut model, Millis(800));
+        (0..WORKERS).for_each(|n| model.worker_mut(n).is_partitioned = true);
+        service.run_for(&mut model, Millis(300));
+        assert_eq!(service.answered.len(), 1);
+        for number in 0..WORKERS {
+            model.worker_mut(number).restart();
+            model.worker_mut(number).is_partitioned = false;
+        }
+        service.run_for(&mut model, Millis(500) + TIMES.answer_time(WORKERS) + Millis(1_000));
+        assert_eq!(model.done.len(), 1, "{service:?}");
+        assert!(service.rejected <= 1, "{} starts were rejected", service.rejected);
+    }
+}
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -26,5 +26,6 @@
 mod succession;
 mod takeover;
 mod team_ceilings;
+mod unanswered_starts;
 mod unstored_ends;
 mod vm_turns;
