Store the cancelling of an unknown job before it is acknowledged

Cause: 410 states that there is no such job, while a write of unknown outcome may still create it. The entry that answers has not sent that write, and the one that has may be gone.

Change: an entry that finds no job stores a tombstone (id, queue, team) before it answers 410, and the scheduler cancels a job of that owner that it learns of while the tombstone is kept: 30 s, and until it knows all jobs as of then. The scheduler writes the tombstones of all entries together, each 20 ms at most; an entry without an answer from it writes its own. So unknown ids cost at most 50 writes a second, whatever callers delete, and at most 200,000 of them are kept. The same cause on a related path: a mark of cancellation that reached the scheduler before its job was dropped there; it is kept now.

Evidence: `job_that_is_created_after_its_cancelling_does_not_start` fails on the code before (the job runs once) and passes now; it kills the scheduler after the acknowledgement and submits the job again.

--- a/crates/carawaybarrow/src/node/callers.rs
+++ b/crates/carawaybarrow/src/node/callers.rs
@@ -6,6 +6,7 @@
 use carawaybarrow_core::byte_budget::ByteBudget;
 use carawaybarrow_core::sched::graph::{JobKey, JobSpec, TeamName};
 use carawaybarrow_core::sched::progress::{JobRecord, JobState};
+use carawaybarrow_core::sched::tombstones::JobOwner;
 use carawaybarrow_platform::callers::{self, KEY_HEADER};
 use carawaybarrow_platform::configuration::{Configuration, Queue};
 use carawaybarrow_platform::store::StoreError;
@@ -16,6 +17,7 @@
 use crate::node::key_writes::{CreateOutcome, StoreKeyWriter};
 use crate::node::peers::SchedulerClient;
 use crate::node::records;
+use crate::node::tombstones::TombstoneWriter;
 use crate::node::view::{self, View};
 
 /// Time for a read of the store while a caller waits.
@@ -37,6 +39,8 @@
     pub scheduler: Arc<SchedulerClient>,
     /// Creates keys in the store.
     pub key_writer: Arc<StoreKeyWriter>,
+    /// Stores cancellations of unknown jobs.
+    pub tombstones: Arc<TombstoneWriter>,
     /// Budget for jobs that are being parsed and stored.
     pub storing: Arc<ByteBudget>,
 }
@@ -127,7 +131,7 @@
                 self.submit(&job, &body, queue, team).await
             }
             Method::Get => self.read_state(&job).await,
-            Method::Delete => self.cancel(&job).await,
+            Method::Delete => self.cancel(&job, JobOwner { queue: queue.name.clone(), team }).await,
             _ => Answer::new(405, "a job can be sent, read and deleted"),
         }
     }
@@ -192,11 +196,11 @@
         }
     }
 
-    async fn cancel(&self, job: &JobKey) -> Answer {
+    async fn cancel(&self, job: &JobKey, owner: JobOwner) -> Answer {
         match self.find_state(job).await {
             Ok(Some(state)) if state.is_final() => return Answer::new(200, "it has ended already"),
             Ok(Some(_)) => {}
-            Ok(None) => return Answer::new(410, "no such job"),
+            Ok(None) => return self.cancel_unknown(job, owner).await,
             Err(_) => return Answer::new(503, "neither the scheduler nor the store can be asked"),
         }
         match self.key_writer.create(records::cancel_key(job), b"{}".to_vec()).await {
@@ -210,6 +214,17 @@
     }
 }
 
+impl CallerApi {
+    /// Answers that there is no such job once a tombstone ensures that none starts, as a write that creates it may be in flight.
+    async fn cancel_unknown(&self, job: &JobKey, owner: JobOwner) -> Answer {
+        match self.tombstones.add(owner, job).await {
+            CreateOutcome::Created(_) | CreateOutcome::Exists => Answer::new(410, "no such job"),
+            CreateOutcome::NotCreated => Answer::new(503, "the cancellation of an unknown job can't be stored now"),
+            CreateOutcome::Unknown => Answer::new(504, "the store did not answer; the job may be cancelled"),
+        }
+    }
+}
+
 /// Team of the request's key. Without a known key, a request has no team if the queue is open to all, and is rejected
 /// otherwise.
 fn find_team(configuration: &Configuration, queue: &Queue, key: Option<&str>) -> Result<Option<TeamName>, Answer> {
--- a/crates/carawaybarrow/src/node/job_loading.rs
+++ b/crates/carawaybarrow/src/node/job_loading.rs
@@ -76,6 +76,7 @@
         let Some(value) = &item.value else { continue };
         match records::parse_job_key(&item.key) {
             Some(JobItem::Cancel(job)) => cancelled.push(job),
+            Some(JobItem::Tombstones) => term.add_stored_tombstones(&item.key, value),
             Some(JobItem::Record(job)) => match records::decode::<JobRecord>(value) {
                 Ok(JobRecord::Accepted(spec)) => {
                     accepted.push((spec.accepted, job, spec, item.created.0));
--- a/crates/carawaybarrow/src/node/job_writer.rs
+++ b/crates/carawaybarrow/src/node/job_writer.rs
@@ -53,10 +53,11 @@
     }
 }
 
-/// Deletes the records of jobs that ended long ago.
+/// Deletes the records of jobs that ended long ago, and tombstones that need not be kept.
 pub async fn expire_jobs(term: Arc<Term>) {
     let retention = Millis(term.view.settings.state_retention.0 * RETENTION_FACTOR);
     while !term.is_ended() {
+        expire_tombstones(&term).await;
         let expired = term.with(|s| s.find_expired(view::now().wall, retention, EXPIRED_PER_CHANGE));
         if !expired.is_empty() {
             let mut change = Change { expected: vec![(SCHEDULER_KEY.to_owned(), term.revision)], ..Change::default() };
@@ -77,6 +78,25 @@
     }
 }
 
+async fn expire_tombstones(term: &Arc<Term>) {
+    loop {
+        let expired = term.with(|s| s.find_expired_tombstones(JOB_ROWS));
+        if expired.is_empty() || term.is_ended() {
+            return;
+        }
+        let change = Change {
+            expected: vec![(SCHEDULER_KEY.to_owned(), term.revision)],
+            deletes: expired.iter().map(|key| key.to_string()).collect(),
+            ..Change::default()
+        };
+        let answer = term.view.store.change(&change, STORE_TIMEOUT).await;
+        if !matches!(answer, Ok(ChangeOutcome::Done(_))) {
+            return log::info!(documents = expired.len(), answer:? = answer; "tombstones are not deleted yet");
+        }
+        term.with(|s| expired.iter().for_each(|key| s.forget_tombstones(key)));
+    }
+}
+
 /// Stores the changes that no writer has taken, when this entry ends its term. If a write fails, the next scheduler
 /// receives the ends of runs from the workers.
 pub async fn flush(term: &Arc<Term>) {
--- a/crates/carawaybarrow/src/node/mod.rs
+++ b/crates/carawaybarrow/src/node/mod.rs
@@ -5,7 +5,7 @@
 //!   begin the next.
 //! - `view`, `members`, `records`: the entry's view of the configuration, the scheduler and the other entries, and the
 //!   documents in the store.
-//! - `callers`, `key_writes`, `peers`: requests of callers, and calls between entries.
+//! - `callers`, `key_writes`, `tombstones`, `peers`: requests of callers, and calls between entries.
 //! - `term`, `term_orders`, `worker_polls`, `store_watches`, `job_writer`, `vm_orders`: state of a term and the loops that update it.
 //! - `notify`: notifications between tasks.
 //! - `metrics`: counters and histograms.
@@ -27,6 +27,7 @@
 pub mod term;
 pub mod term_orders;
 pub mod term_start;
+pub mod tombstones;
 pub mod view;
 pub mod vm_orders;
 pub mod worker_polls;
--- a/crates/carawaybarrow/src/node/records.rs
+++ b/crates/carawaybarrow/src/node/records.rs
@@ -50,6 +50,10 @@
 /// Prefix of the keys of the progress of jobs that have not ended.
 pub const PROGRESS_PREFIX: &str = "progress/";
 
+/// Prefix of the keys of [`Tombstones`](carawaybarrow_core::sched::tombstones::Tombstones). It is below [`JOB_PREFIX`], so
+/// that one watch returns jobs and tombstones in the order of their writes. No job has an id like this.
+const TOMBSTONES_PREFIX: &str = "jobs/tombstones/";
+
 /// Suffix of the key of a mark that cancels a job.
 const CANCEL_SUFFIX: &str = "/cancel";
 
@@ -71,6 +75,12 @@
     format!("{JOB_PREFIX}{job}{CANCEL_SUFFIX}")
 }
 
+/// Key of the tombstones that an incarnation of an entry has written, by their number.
+#[must_use]
+pub fn tombstones_key(entry: &str, incarnation: u64, number: u64) -> String {
+    format!("{TOMBSTONES_PREFIX}{entry}/{incarnation}/{number}")
+}
+
 /// Key of the progress of a job.
 #[must_use]
 pub fn progress_key(job: &JobKey) -> String {
@@ -83,18 +93,23 @@
     format!("scheduler/wave/{number}")
 }
 
-/// Kind of a key below [`JOB_PREFIX`], with its job.
+/// Kind of a key below [`JOB_PREFIX`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum JobItem {
     /// Record of the job.
     Record(JobKey),
     /// Mark that cancels the job.
     Cancel(JobKey),
+    /// Tombstones of jobs that were not known.
+    Tombstones,
 }
 
 /// Parses a key below [`JOB_PREFIX`]; `None` for any other key.
 #[must_use]
 pub fn parse_job_key(key: &str) -> Option<JobItem> {
+    if key.starts_with(TOMBSTONES_PREFIX) {
+        return Some(JobItem::Tombstones);
+    }
     let rest = key.strip_prefix(JOB_PREFIX)?;
     Some(match rest.strip_suffix(CANCEL_SUFFIX) {
         Some(job) => JobItem::Cancel(JobKey::new(job)),
--- a/crates/carawaybarrow/src/node/run.rs
+++ b/crates/carawaybarrow/src/node/run.rs
@@ -21,6 +21,7 @@
 use crate::node::key_writes::{self, StoreKeyWriter};
 use crate::node::metrics::NodeMetrics;
 use crate::node::peers::{self, SchedulerClient};
+use crate::node::tombstones::{self, TombstoneWriter};
 use crate::node::view::{self, View};
 use crate::node::{election, members};
 use crate::serve;
@@ -81,10 +82,12 @@
     let scheduler_client = Arc::new(SchedulerClient::new(Arc::clone(&view), &settings.entry));
 
     let key_writer = Arc::new(StoreKeyWriter::new(Arc::clone(&view), &settings.entry));
+    let tombstone_writer = Arc::new(TombstoneWriter::new(Arc::clone(&view), Arc::clone(&key_writer), &settings.entry));
 
     let mut peer_app = tide::with_state(Arc::clone(&view));
     peers::add_routes(&mut peer_app);
     key_writes::add_routes(&mut peer_app);
+    tombstones::add_routes(&mut peer_app, &tombstone_writer);
     // A server listens until its handle is dropped.
     let peer_server = http_server::listen(settings.peers_listen, peer_app, Limits::new(PEER_BODY_BYTES)).await?;
 
@@ -110,6 +113,7 @@
         view: Arc::clone(&view),
         scheduler: Arc::clone(&scheduler_client),
         key_writer,
+        tombstones: tombstone_writer,
         storing: Arc::new(ByteBudget::new(settings.connection_limits.request_bytes)),
     });
     callers::add_routes(&mut caller_app);
--- a/crates/carawaybarrow/src/node/store_watches.rs
+++ b/crates/carawaybarrow/src/node/store_watches.rs
@@ -55,9 +55,11 @@
 pub async fn watch_jobs(term: Arc<Term>) {
     let mut after = term.watch_start();
     while !term.is_ended() {
+        let sent = view::now().mono;
         match term.view.store.watch(JOB_PREFIX, after, JOB_WATCH_WAIT, STORE_TIMEOUT).await {
             Ok(WatchOutcome::Events(items, as_of)) => {
                 apply_job_items(&term, items);
+                term.with(|s| s.record_jobs_read(sent));
                 after = as_of.max(after);
                 task::sleep(JOB_WATCH_PAUSE).await;
             }
@@ -66,6 +68,7 @@
                 match term.view.store.list(JOB_PREFIX, term.list_timeout()).await {
                     Ok((items, as_of)) => {
                         apply_job_items(&term, items);
+                        term.with(|s| s.record_jobs_read(sent));
                         after = as_of;
                     }
                     Err(e) => pause_after(&e, "the jobs can't be read from the store").await,
@@ -108,6 +111,7 @@
         let Some(value) = &item.value else { continue };
         match records::parse_job_key(&item.key) {
             Some(JobItem::Cancel(job)) => term.cancel_job(&job),
+            Some(JobItem::Tombstones) => term.add_stored_tombstones(&item.key, value),
             Some(JobItem::Record(job)) => match records::decode::<JobRecord>(value) {
                 Ok(record @ JobRecord::Accepted(_)) => term.add_job(&job, record, item.created.0),
                 // Only this scheduler ends jobs.
--- a/crates/carawaybarrow/src/node/term.rs
+++ b/crates/carawaybarrow/src/node/term.rs
@@ -11,6 +11,7 @@
 use carawaybarrow_core::sched::progress::{JobRecord, Progress};
 use carawaybarrow_core::sched::scheduler::Scheduler;
 use carawaybarrow_core::sched::succession::{KnownSuccession, Succession};
+use carawaybarrow_core::sched::tombstones::Tombstones;
 use carawaybarrow_core::sched::vm_turns::StoredMoves;
 use carawaybarrow_core::units::{Millis, MonoTime};
 use carawaybarrow_platform::advice::AdviceClient;
@@ -18,7 +19,7 @@
 use carawaybarrow_platform::workers::WorkerClient;
 
 use crate::node::notify::Notify;
-use crate::node::records::Owner;
+use crate::node::records::{self, Owner};
 use crate::node::view::{self, View};
 
 /// Time since the last confirmed renewal of the lease after which the store counts as lost. Two renewals fit into it.
@@ -360,6 +361,20 @@
         self.request_plan();
     }
 
+    /// Adds stored tombstones; `key` is their key in the store.
+    pub fn add_tombstones(&self, key: &str, tombstones: &Tombstones) {
+        self.with(|s| s.add_tombstones(view::now().mono, key, tombstones));
+        self.request_plan();
+    }
+
+    /// Adds the tombstones of a document of the store.
+    pub fn add_stored_tombstones(&self, key: &str, value: &[u8]) {
+        match records::decode(value) {
+            Ok(tombstones) => self.add_tombstones(key, &tombstones),
+            Err(e) => log::error!(key = key, error:% = e; "tombstones can't be read"),
+        }
+    }
+
     /// Waits until a plan is requested, or the term ends.
     pub async fn wait_for_plan(&self) {
         self.plan_notify.wait().await;
--- a/crates/core/src/sched/jobs.rs
+++ b/crates/core/src/sched/jobs.rs
@@ -72,10 +72,14 @@
             let pool = self.pool_of(&job.spec).clone();
             self.arrivals.record(now.mono, &pool, &job.spec);
         }
+        let was_cancelled = self.tombstones.cancel(&key, &job.spec);
         self.jobs.insert(key.clone(), job);
         self.adopt_orphans(now.mono, &key);
         self.fail_if_attempts_used_up(&key);
         self.finish_if_complete(&key);
+        if was_cancelled {
+            self.cancel_job(&key);
+        }
     }
 
     /// Counts a job towards the share of its team, which is a rate of accepted jobs. Returns whether it is within the
@@ -108,9 +112,14 @@
         self.ended.remove(key);
     }
 
-    /// Cancels a job whose mark of cancellation is stored.
+    /// Cancels a job whose mark of cancellation is stored. The scheduler may be notified of the mark before the job.
     pub fn cancel_job(&mut self, key: &JobKey) {
-        let Some(job) = self.jobs.get_mut(key) else { return };
+        let Some(job) = self.jobs.get_mut(key) else {
+            if !self.ended.contains_key(key) {
+                self.tombstones.add_marked(self.last_mono, key);
+            }
+            return;
+        };
         if job.is_cancelled || job.state.is_final() {
             return;
         }
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -21,6 +21,7 @@
 pub mod scheduler;
 pub mod succession;
 pub mod takeover;
+pub mod tombstones;
 pub mod unsettled;
 pub mod vm_turns;
 pub mod worker;
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -18,6 +18,7 @@
 use crate::sched::recovery::QueuePools;
 use crate::sched::reservation::{PoolReservations, RunTimes};
 use crate::sched::share::TokenBucket;
+use crate::sched::tombstones::KeptTombstones;
 use crate::sched::worker::{MAX_IDLE_WAIT, MAX_WAIT, MAX_WAIT_DURING_TAKEOVER, Worker};
 use crate::sched::writes::WriteQueue;
 use crate::units::{Millis, MonoTime, WallTime};
@@ -136,6 +137,7 @@
     pub(super) unstored: Map<JobKey, Vec<WorkerKey>>,
     /// Data centres that operators evacuate.
     pub(super) evacuated: Set<SmolStr>,
+    pub(super) tombstones: KeptTombstones,
 }
 
 impl Scheduler {
@@ -185,6 +187,7 @@
             run_times: RunTimes::default(),
             unstored: Map::default(),
             evacuated: Set::default(),
+            tombstones: KeptTombstones::default(),
         }
     }
 
--- a/crates/core/tests/sched/main.rs
+++ b/crates/core/tests/sched/main.rs
@@ -26,6 +26,7 @@
 mod succession;
 mod takeover;
 mod team_ceilings;
+mod tombstones;
 mod unanswered_starts;
 mod unstored_ends;
 mod vm_turns;
