Cancel a job only for its own queue and team

Cause: DELETE looked jobs up by their id alone.

Change: DELETE reads the stored record of a job that is known, and a job of another queue or team counts as unknown: the answer is 410, and a tombstone of the caller's own queue and team is stored. It costs one more read of the store for each cancelling of a known job.

Evidence: `job_of_another_queue_is_not_cancelled` fails on the code before (the lasting job is cancelled) and passes now.

--- a/crates/carawaybarrow/src/node/callers.rs
+++ b/crates/carawaybarrow/src/node/callers.rs
@@ -198,8 +198,13 @@
 
     async fn cancel(&self, job: &JobKey, owner: JobOwner) -> Answer {
         match self.find_state(job).await {
-            Ok(Some(state)) if state.is_final() => return Answer::new(200, "it has ended already"),
-            Ok(Some(_)) => {}
+            Ok(Some(state)) => match self.is_held_by(job, &owner).await {
+                Ok(true) if state.is_final() => return Answer::new(200, "it has ended already"),
+                Ok(true) => {}
+                // Others learn nothing of the job, and cancel their own one with this id if it comes later.
+                Ok(false) => return self.cancel_unknown(job, owner).await,
+                Err(_) => return Answer::new(503, "the store can't be asked whose job it is"),
+            },
             Ok(None) => return self.cancel_unknown(job, owner).await,
             Err(_) => return Answer::new(503, "neither the scheduler nor the store can be asked"),
         }
@@ -215,6 +220,20 @@
 }
 
 impl CallerApi {
+    /// Whether a stored job has a queue and a team. One whose record can't be read counts as theirs.
+    async fn is_held_by(&self, job: &JobKey, owner: &JobOwner) -> Result<bool, StoreError> {
+        let Some(item) = self.view.store.get(&records::job_key(job), READ_TIMEOUT).await? else { return Ok(false) };
+        let record = item.value.map(|value| records::decode::<JobRecord>(&value));
+        Ok(match record {
+            Some(Ok(record)) => record.owner() == *owner,
+            Some(Err(e)) => {
+                log::error!(job:% = job, error:% = e; "the record of a job can't be read");
+                true
+            }
+            None => false,
+        })
+    }
+
     /// Answers that there is no such job once a tombstone ensures that none starts, as a write that creates it may be in flight.
     async fn cancel_unknown(&self, job: &JobKey, owner: JobOwner) -> Answer {
         match self.tombstones.add(owner, job).await {
--- a/crates/carawaybarrow/tests/cancellations.rs
+++ b/crates/carawaybarrow/tests/cancellations.rs
@@ -14,6 +14,7 @@
 /// Seeds of the installations, which select their IP addresses.
 const LATE_SEED: u64 = 237;
 const CROWD_SEED: u64 = 238;
+const OTHERS_SEED: u64 = 239;
 
 /// Time after which a creation without an answer takes effect.
 const DELAY: Duration = Duration::from_secs(6);
@@ -78,6 +79,24 @@
     });
 }
 
+/// Guards against a DELETE that cancels, or tells of, the job of another queue with the same id. Part of review/8.
+#[test]
+fn job_of_another_queue_is_not_cancelled() {
+    task::block_on(async {
+        let installation = Installation::start(OTHERS_SEED, Size::SMALL).await;
+        let (caller, entries) = (Caller::new(KEY), installation.addresses());
+        await_start(&installation, &caller).await;
+        let lasting = Job { run_time_ms: None, ..new_job(1) };
+        assert!(matches!(caller.submit(entries[0], &lasting).await, Answer::Yes(_)));
+        assert_eq!(caller.cancel(entries[1], &new_job(1)).await, Answer::Unknown);
+        assert_ne!(caller.state(entries[1], &lasting).await, Answer::Yes("cancelled".to_owned()));
+        assert!(matches!(caller.cancel(entries[1], &lasting).await, Answer::Yes(_)));
+        assert_eq!(caller.cancel(entries[2], &new_job(1)).await, Answer::Unknown, "an ended job is told of");
+        assert_eq!(caller.state(entries[1], &lasting).await, Answer::Yes("cancelled".to_owned()));
+        let _ = fs::remove_dir_all(&installation.folder);
+    });
+}
+
 /// Guards against a write for each cancelling of an unknown job: callers who cancel many of them would use up the writes that the
 /// store accepts.
 #[test]
--- a/crates/core/src/sched/progress.rs
+++ b/crates/core/src/sched/progress.rs
@@ -4,6 +4,7 @@
 
 use crate::sched::graph::{JobSpec, QueueName, TeamName};
 use crate::sched::policy::QueuePolicy;
+use crate::sched::tombstones::JobOwner;
 use crate::units::WallTime;
 
 /// State of a job.
@@ -49,6 +50,17 @@
     },
 }
 
+impl JobRecord {
+    /// Queue and team of the job.
+    #[must_use]
+    pub fn owner(&self) -> JobOwner {
+        match self {
+            Self::Accepted(spec) => spec.into(),
+            Self::Ended { queue, team, .. } => JobOwner { queue: queue.clone(), team: team.clone() },
+        }
+    }
+}
+
 /// Tasks of one step of one occurrence that are done.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DoneTasks {
