Write tombstones each 10 ms, so that DELETE is answered sooner

Callers who cancel unknown jobs waited for the next write of the scheduler: 60 callers at three entries got 2,480 to 2,865 answers a second (3,000 DELETEs in 1.05 and 1.21 s, release build), 6,950 before tombstones.

Change: the scheduler writes each 10 ms at most instead of 20, and entries collect for 1 ms for each entry instead of 2.

--- a/crates/carawaybarrow/src/node/tombstones.rs
+++ b/crates/carawaybarrow/src/node/tombstones.rs
@@ -26,10 +26,10 @@
 const SCHEDULER_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Interval between writes of the scheduler, for all entries.
-const SCHEDULER_INTERVAL: Millis = Millis(20);
+const SCHEDULER_INTERVAL: Millis = Millis(10);
 
-/// Interval between the calls of an entry to the scheduler, for each entry, so that all make at most 500 calls a second.
-const CALL_INTERVAL: Millis = Millis(2);
+/// Interval between the calls of an entry to the scheduler, for each entry, so that all make at most 1,000 calls a second.
+const CALL_INTERVAL: Millis = Millis(1);
 
 /// Interval between the writes of an entry without a scheduler, for each entry, so that all make at most 100 writes a second.
 const WRITE_INTERVAL: Millis = Millis(10);
--- a/crates/carawaybarrow/tests/cancellations.rs
+++ b/crates/carawaybarrow/tests/cancellations.rs
@@ -20,7 +20,7 @@
 const DELAY: Duration = Duration::from_secs(6);
 
 /// Time between two writes of tombstones, all entries together.
-const WRITE_INTERVAL: Duration = Duration::from_millis(20);
+const WRITE_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Callers that cancel unknown jobs at the same time, and the number of jobs that each of them cancels.
 const CROWD: usize = 60;
